Log what a refusal was decided by and what changes the belief about a server

Cause: a refusal's line told the queue but not the server, the predicted start or the limit that decided, and a server that was found faulty or out of reach left no line; the time of day may jump, so lines of one run could not be put in order. Change: the request line has basis and reportAge; server lost, back, faulty and sound are told once per change; every line has the time since its process started.

--- a/packages/coordination/src/routing/admission.ts
+++ b/packages/coordination/src/routing/admission.ts
@@ -28,7 +28,25 @@
 /** What becomes of a job. */
 export type Admitted =
   | { readonly kind: 'server'; readonly id: string; readonly predicted: Milliseconds }
-  | { readonly kind: 'refused'; readonly reason: Refusal; readonly retryAfter: Milliseconds };
+  | {
+      readonly kind: 'refused';
+      readonly reason: Refusal;
+      readonly retryAfter: Milliseconds;
+      /** What decided, if a server was found for which it would have had to wait. */
+      readonly basis?: Basis;
+    };
+
+/** What a refusal for overload was decided by. */
+export interface Basis {
+  /** The server for which the request waited. */
+  readonly server: string;
+  /** Time until the predicted first event. */
+  readonly start: Milliseconds;
+  /** Time until the latest first event that would have been of use. */
+  readonly limit: Milliseconds;
+  /** Tokens that its team has received lately in the whole fleet. */
+  readonly received: number;
+}
 
 /** Why a job is refused. */
 export type Refusal = 'noServer' | 'overload' | 'deadline';
@@ -165,7 +183,13 @@
         return;
       case 'wait':
         if (now + placement.predicted > startLimit(job)) {
-          this.#settle(waiter, refusal('overload', placement.predicted));
+          const basis: Basis = {
+            server: placement.id,
+            start: placement.predicted,
+            limit: startLimit(job) - now,
+            received: view.received(job.team),
+          };
+          this.#settle(waiter, { ...refusal('overload', placement.predicted), basis });
           return;
         }
         ahead.set(placement.id, sum(ahead.get(placement.id) ?? noLoad, placement.added));
@@ -220,7 +244,10 @@
   );
 }
 
-function refusal(reason: Refusal, wait: Milliseconds): Admitted {
+function refusal(
+  reason: Refusal,
+  wait: Milliseconds,
+): Extract<Admitted, { readonly kind: 'refused' }> {
   const retryAfter = Math.min(longestRetry, Math.max(shortestRetry, wait));
   return { kind: 'refused', reason, retryAfter };
 }
--- a/packages/coordination/src/routing/dispatcher.ts
+++ b/packages/coordination/src/routing/dispatcher.ts
@@ -2,7 +2,7 @@
 // waits, and what the other routers are told.
 
 import type { Clock, Milliseconds } from '@catkinwheel/state';
-import { Admission, type Job, type Refusal, type View } from './admission.js';
+import { Admission, type Admitted, type Job, type View } from './admission.js';
 import { ColdStart, type ColdBound } from './coldStart.js';
 import { EngineModel } from './engine.js';
 import { Homes } from './homes.js';
@@ -13,7 +13,7 @@
 import { Residency, type ReadPart } from './residency.js';
 import type { RouteTable } from './routeTable.js';
 import { ServerTable, type KnownServer } from './serverTable.js';
-import { Standings, type Result } from './standing.js';
+import { Standings, type Change, type Result } from './standing.js';
 import { TeamShares } from './teamShares.js';
 
 /** Part of its aim that a request may spend behind others at a server. The rest is its own reading. */
@@ -55,11 +55,8 @@
   finish(result?: Result): void;
 }
 
-export interface Rejection {
-  readonly kind: 'refused';
-  readonly reason: Refusal;
-  readonly retryAfter: Milliseconds;
-}
+/** Why a request gets no server. */
+export type Rejection = Extract<Admitted, { readonly kind: 'refused' }>;
 
 /** What a router tells the others. */
 export interface Report {
@@ -83,6 +80,8 @@
   readonly repeats: RepeatBound;
   /** Names of all routers that may be running. */
   readonly routers: () => readonly string[];
+  /** Called when an answer, or the lack of one, changes the belief about a server. */
+  readonly onServer?: (server: string, change: Change, failureRate: number) => void;
 }
 
 /** The decisions of one router. */
@@ -179,6 +178,11 @@
     this.#admission.pump();
   }
 
+  /** Age of the oldest report of another router that counts here; undefined if none does. */
+  reportAge(): Milliseconds | undefined {
+    return this.#loads.reportAge();
+  }
+
   /** Servers that keep prompt parts. */
   engines(): readonly KnownServer[] {
     return this.servers.all().filter(({ id }) => this.#memoryOf(id) > 0);
@@ -290,9 +294,11 @@
   }
 
   #learn(server: KnownServer, service: Service, result: Result): void {
-    const isBack = this.standings.note(server.id, result);
+    const change = this.standings.note(server.id, result);
     // What made it unreachable may have been a restart that its registration does not tell yet.
-    if (isBack) this.servers.cool(server.id, service.warmup);
+    if (change === 'back') this.servers.cool(server.id, service.warmup);
+    if (change !== undefined)
+      this.options.onServer?.(server.id, change, this.standings.failureRate(server.id));
     if (result === 'unreachable') this.#residency.forget(server.id);
   }
 
--- a/packages/coordination/src/routing/loads.ts
+++ b/packages/coordination/src/routing/loads.ts
@@ -119,6 +119,12 @@
     }
   }
 
+  /** Age of the oldest report that counts; undefined without any. */
+  reportAge(): Milliseconds | undefined {
+    const times = [...this.#reports.values()].map(({ received }) => received);
+    return times.length === 0 ? undefined : this.clock.now() - Math.min(...times);
+  }
+
   #changed(): void {
     this.#others = undefined;
     this.#elsewhere = undefined;
--- a/packages/coordination/src/routing/placement.ts
+++ b/packages/coordination/src/routing/placement.ts
@@ -7,6 +7,7 @@
 import type { EngineModel } from './engine.js';
 import { noLoad, type Load } from './loads.js';
 import type { Engine } from './model.js';
+import { usualFailures } from './standing.js';
 
 /**
  * Weight of reading time against waiting time. Reading delays all others at the server, and what it pushes
@@ -19,8 +20,6 @@
 const batchCost: Milliseconds = 3;
 /** What a failure costs: the time to notice it, and the whole request once more, often too late. */
 const failureCost: Milliseconds = 4_000;
-/** Share of failures that plain services have by nature; only more than that speaks against a server. */
-const usualFailures = 0.3;
 /** Traffic between data centres is charged for; the price is small against waiting. */
 const distanceCost: Milliseconds = 15;
 /** Time that a request takes at a plain server, only used to compare servers of one service. */
--- a/packages/coordination/src/routing/standing.test.ts
+++ b/packages/coordination/src/routing/standing.test.ts
@@ -18,8 +18,8 @@
 test('a server that answers again is reported as back, since it may be cold', () => {
   const standings = Standings.create(Clock.manual());
   standings.note('a', 'unreachable');
-  assert.ok(standings.note('a', 'answered'));
-  assert.ok(!standings.note('a', 'answered'));
+  assert.equal(standings.note('a', 'answered'), 'back');
+  assert.equal(standings.note('a', 'answered'), undefined);
 });
 
 test('a server that fails half of its requests is found from its answers', () => {
@@ -28,3 +28,21 @@
     standings.note('a', index % 2 === 0 ? 'failed' : 'answered');
   assert.ok(standings.failureRate('a') > 0.3);
 });
+
+// The log tells a change of belief once; a line for each failure would hide it.
+test('each change of the belief about a server is told once', () => {
+  const standings = Standings.create(Clock.manual());
+  const results = ['unreachable', 'unreachable', 'answered'] as const;
+  const told = results.map((result) => standings.note('a', result));
+  assert.deepEqual(told, ['lost', undefined, 'back']);
+  const failures = Array.from({ length: 20 }, () => standings.note('a', 'failed'));
+  assert.deepEqual(
+    failures.filter((change) => change !== undefined),
+    ['faulty'],
+  );
+  const answers = Array.from({ length: 40 }, () => standings.note('a', 'answered'));
+  assert.deepEqual(
+    answers.filter((change) => change !== undefined),
+    ['sound'],
+  );
+});
--- a/packages/coordination/src/routing/standing.ts
+++ b/packages/coordination/src/routing/standing.ts
@@ -16,6 +16,19 @@
   /** Another server has the address. */
   | 'misdirected';
 
+/** What a result changes in the belief about a server. */
+export type Change =
+  /** It cannot be reached any more. */
+  | 'lost'
+  /** It can be reached again. */
+  | 'back'
+  /** It fails more requests than servers do by nature. */
+  | 'faulty'
+  /** It fails no more than usual again. */
+  | 'sound';
+
+/** Share of failures that plain services have by nature; only more than that speaks against a server. */
+export const usualFailures = 0.3;
 /** Weight of the newest result in the failure rate. */
 const newest = 0.12;
 /** A server that could not be reached is tried again after this time, doubled with each failure. */
@@ -43,30 +56,35 @@
     return new Standings(clock);
   }
 
-  /** Learns from a result. Returns whether the server became reachable again by it. */
-  note(server: string, result: Result): boolean {
-    const record = this.#records.get(server) ?? unknown;
+  /** Learns from a result. Returns what it changes in the belief about the server, if anything. */
+  note(server: string, result: Result): Change | undefined {
+    const before = this.#records.get(server) ?? unknown;
+    const after = this.#after(before, result);
+    this.#records.set(server, after);
+    if (before.misses === 0 && after.misses > 0) return 'lost';
+    if (before.misses > 0 && after.misses === 0) return 'back';
+    const isFaulty = after.failureRate > usualFailures;
+    if (isFaulty === before.failureRate > usualFailures) return undefined;
+    return isFaulty ? 'faulty' : 'sound';
+  }
+
+  #after(record: Record, result: Result): Record {
     const now = this.clock.now();
     switch (result) {
       case 'answered':
-        this.#set(server, { ...smooth(record, 0), pausedUntil: 0, misses: 0 });
-        return record.misses > 0;
+        return { ...smooth(record, 0), pausedUntil: 0, misses: 0 };
       case 'failed':
-        this.#set(server, { ...smooth(record, 1), misses: 0 });
-        return false;
+        return { ...smooth(record, 1), misses: 0 };
       case 'refused':
-        this.#set(server, { ...record, misses: 0, pausedUntil: now + firstPause });
-        return record.misses > 0;
+        return { ...record, misses: 0, pausedUntil: now + firstPause };
       case 'unreachable': {
         const misses = record.misses + 1;
         const pause = Math.min(longestPause, firstPause * 2 ** (misses - 1));
-        this.#set(server, { ...record, misses, pausedUntil: now + pause });
-        return false;
+        return { ...record, misses, pausedUntil: now + pause };
       }
       case 'misdirected':
         // Its registration is out of date; the next one has another id.
-        this.#set(server, { ...record, pausedUntil: now + longestPause });
-        return false;
+        return { ...record, pausedUntil: now + longestPause };
     }
   }
 
@@ -87,10 +105,6 @@
   forget(server: string): void {
     this.#records.delete(server);
   }
-
-  #set(server: string, record: Record): void {
-    this.#records.set(server, record);
-  }
 }
 
 function smooth(record: Record, failed: number): Record {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -57,7 +57,12 @@
     const log = Log.create(clock, router, this.#boot);
     const metrics = this.#metrics;
     const members = Members.create(clock, router);
-    const dispatcher = Dispatcher.create(dispatcherOptions(settings, clock, members));
+    const dispatcher = Dispatcher.create({
+      ...dispatcherOptions(settings, clock, members),
+      onServer: (server, change, failureRate) => {
+        log.write(`server ${change}`, { server, failureRate: Number(failureRate.toFixed(2)) });
+      },
+    });
     const knowledge = Knowledge.create(clock, dispatcher, log);
     const store = Store.create(settings.store);
     this.#log = log;
--- a/packages/gateway/src/log.ts
+++ b/packages/gateway/src/log.ts
@@ -17,6 +17,7 @@
 /** The log of one process. Never blocks and never throws. */
 export class Log {
   readonly #logger: Logger<ILogObj>;
+  readonly #started: Milliseconds;
   #allowance = burst;
   #refilled: Milliseconds;
   #dropped = 0;
@@ -26,7 +27,8 @@
     router: string,
     boot: string,
   ) {
-    this.#refilled = clock.now();
+    this.#started = clock.now();
+    this.#refilled = this.#started;
     this.#logger = new Logger<ILogObj>({
       type: 'json',
       hideLogPositionForProduction: true,
@@ -34,8 +36,11 @@
         toLogObj: (args) => Object.assign({}, ...args) as ILogObj,
         addMeta: (line) => line as ILogObj & ILogObjMeta,
         transportJSON: (line) => {
+          // The time of day may jump; the time since the start orders the lines of one run.
+          const up = Math.round(clock.now() - this.#started);
+          const time = new Date().toISOString();
           process.stdout.write(
-            `${JSON.stringify({ time: new Date().toISOString(), router, boot, ...(line as object) })}\n`,
+            `${JSON.stringify({ time, router, boot, up, ...(line as object) })}\n`,
           );
         },
       },
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -2,7 +2,14 @@
 // handed on, and what the caller is told if nothing can be.
 
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { Dispatcher, Grant, Prompt, Route, Team } from '@catkinwheel/coordination/routing';
+import type {
+  Basis,
+  Dispatcher,
+  Grant,
+  Prompt,
+  Route,
+  Team,
+} from '@catkinwheel/coordination/routing';
 import {
   decodeAnswerHead,
   decodeHead,
@@ -67,6 +74,7 @@
   #firstByte: Milliseconds | undefined;
   #route: Route | undefined;
   #team: Team | undefined;
+  #basis: Basis | undefined;
 
   private constructor(
     private readonly parts: RelayParts,
@@ -158,6 +166,7 @@
         this.#ending.signal,
       );
       if (grant.kind === 'refused') {
+        this.#basis = grant.basis;
         this.#giveUp(grant.reason, verdict, grant.retryAfter);
         return;
       }
@@ -251,7 +260,7 @@
       predicted: Math.round(grant.predicted),
       missing: grant.missing,
       at: Math.round(sent - this.#arrived),
-      first: first === undefined ? undefined : Math.round(first),
+      first: rounded(first),
       took: Math.round(clock.now() - sent),
       result: describe(attempt),
     });
@@ -419,6 +428,7 @@
     const { clock, log, metrics, dispatcher } = this.parts;
     metrics.requests.inc({ outcome });
     const route = this.#route;
+    const basis = this.#basis;
     if (this.#firstByte !== undefined && route !== undefined)
       metrics.latency.observe({ kind: route.kind }, this.#firstByte / 1_000);
     log.write('request', {
@@ -431,10 +441,12 @@
       team: this.#team?.name,
       tokens: tokensOf(this.#head.prompt),
       timeLeft: this.#head.timeLeft,
-      first: this.#firstByte === undefined ? undefined : Math.round(this.#firstByte),
+      first: rounded(this.#firstByte),
       took: Math.round(clock.now() - this.#arrived),
       desired: dispatcher.table?.state.version,
       waiting: dispatcher.waiting,
+      reportAge: rounded(dispatcher.reportAge()),
+      basis: basis === undefined ? undefined : roundedBasis(basis),
       attempts: this.#traces,
     });
   }
@@ -455,6 +467,19 @@
   return prompt === undefined ? undefined : [prompt.promptTokens, prompt.outputLimit];
 }
 
+function rounded(value: number | undefined): number | undefined {
+  return value === undefined ? undefined : Math.round(value);
+}
+
+function roundedBasis({ server, start, limit, received }: Basis): Basis {
+  return {
+    server,
+    start: Math.round(start),
+    limit: Math.round(limit),
+    received: Math.round(received),
+  };
+}
+
 function hostOf(request: IncomingMessage): string {
   return (request.headers.host ?? '').replace(/:\d+$/, '').toLowerCase();
 }
