Give a team that waits its share before urgency, and tell a request's story from logs

Change: the share below which a team goes first is 0.9. catkinwheel explain and catkinwheel logs read the routers' logs; they showed the cause. Result: the new admission test gives 75000 of 125000 tokens at 0.6, and passes at 0.9.

--- a/packages/catkinwheel/src/cli.ts
+++ b/packages/catkinwheel/src/cli.ts
@@ -8,6 +8,8 @@
 import { done, failed, type Outcome } from './outcome.js';
 
 interface Options {
+  /** Arguments beyond those that the command names. */
+  readonly _?: readonly string[];
   readonly json?: boolean;
   readonly router?: string;
   readonly token?: string;
@@ -52,6 +54,9 @@
   const offline = (options: Options, run: () => Outcome): void => {
     invocation = { json: options.json === true, run: () => Promise.resolve(run()) };
   };
+  const reading = (options: Options, run: () => Promise<Outcome>): void => {
+    invocation = { json: options.json === true, run };
+  };
   const online = (options: Options, run: (client: Client) => Promise<Outcome>): void => {
     invocation = {
       json: options.json === true,
@@ -81,6 +86,18 @@
     .action((options: Options) => {
       offline(options, commands.newKey);
     });
+  program
+    .command('explain <id> <log>', 'Tell what became of a request, from the logs of all routers.')
+    .example('explain 764cbef9b9a0c902 front-suva-1.log front-suva-2.log')
+    .action((id: string, log: string, options: Options) => {
+      reading(options, () => commands.explain(id, [log, ...(options._ ?? [])]));
+    });
+  program
+    .command('logs <log>', "Summarise a day from the routers' logs.")
+    .example('logs *.log --json')
+    .action((log: string, options: Options) => {
+      reading(options, () => commands.logs([log, ...(options._ ?? [])]));
+    });
   program
     .command('status', 'Show the routers.')
     .example('status --router 127.0.0.1:8082')
@@ -170,7 +187,7 @@
 
   program.parse([...argv], {
     boolean: ['json'],
-    string: ['router', 'token', 'author', 'base', 'wait'],
+    string: ['_', 'router', 'token', 'author', 'base', 'wait'],
     unknown: (flag) => `Unknown option: ${flag}`,
   });
   return invocation;
--- a/packages/catkinwheel/src/commands.ts
+++ b/packages/catkinwheel/src/commands.ts
@@ -14,7 +14,11 @@
 import { catalogueText, readCatalogue } from './catalogueFile.js';
 import type { Client } from './client.js';
 import { done, exitCodes, failed, type Outcome } from './outcome.js';
+import { storiesText, summaryText } from './logText.js';
 import { changeText, historyText, serversText, statusText, teamsText } from './render.js';
+import { LogFileError } from './routerLog.js';
+import { explain as explainRequest } from './story.js';
+import { summarize } from './daySummary.js';
 
 /** Period of asking whether a change is in force everywhere. */
 const acceptancePeriod: Milliseconds = 200;
@@ -111,6 +115,36 @@
   );
 }
 
+/** What became of a request, from the logs of all routers. */
+export async function explain(id: string, files: readonly string[]): Promise<Outcome> {
+  return readingLogs(async () => {
+    const found = await explainRequest(id, files);
+    if (found.stories.length > 0) return done(storiesText(found), found);
+    const detail =
+      `no line of request ${id} in ${files.length} files: it never arrived whole, its router ended first, ` +
+      `or the line is one of ${found.dropped} that were dropped under load`;
+    return { code: exitCodes.failed, text: detail, json: { ...found, detail } };
+  });
+}
+
+/** A day in the logs of all routers. */
+export async function logs(files: readonly string[]): Promise<Outcome> {
+  return readingLogs(async () => {
+    const summary = await summarize(files);
+    return done(summaryText(summary), summary);
+  });
+}
+
+async function readingLogs(read: () => Promise<Outcome>): Promise<Outcome> {
+  try {
+    return await read();
+  } catch (error) {
+    if (error instanceof LogFileError)
+      return failed({ kind: 'file', detail: error.message, problems: [] });
+    throw error;
+  }
+}
+
 /** Waits until a committed change is in force at every router that may take work. */
 async function inForce(client: Client, applied: Acceptance, wait: Milliseconds): Promise<Outcome> {
   const clock = Clock.system();
--- /dev/null
+++ b/packages/catkinwheel/src/daySummary.ts
@@ -0,0 +1,213 @@
+// What the logs of all routers tell of a day: what was served and refused, which servers were found faulty,
+// cold or gone, and how long each router was without the store.
+
+import { build, type Histogram } from 'hdr-histogram-js';
+import type { Milliseconds } from '@catkinwheel/state';
+import { readLog, requestOf, type LogLine, type RequestRecord } from './routerLog.js';
+import { Timeline, runKey } from './timeline.js';
+
+/** Requests of one team or route. */
+export interface Share {
+  readonly requests: number;
+  readonly delivered: number;
+  readonly refused: number;
+  readonly failed: number;
+  /** Tokens of prompts asked for, and of those delivered. */
+  readonly tokensAsked: number;
+  readonly tokensDelivered: number;
+}
+
+/** Times in milliseconds. */
+export interface Quantiles {
+  readonly median: Milliseconds;
+  readonly p95: Milliseconds;
+  readonly most: Milliseconds;
+}
+
+/** A change that a router noticed, in seconds since the first line. */
+export interface Notice {
+  readonly at: number;
+  readonly router: string;
+  readonly what: string;
+}
+
+/** A time in which a router did not hear from a dependency, in seconds since the first line. */
+export interface Gap {
+  readonly router: string;
+  readonly dependency: string;
+  readonly from: number;
+  /** Undefined if it did not end in the logs. */
+  readonly to: number | undefined;
+}
+
+export interface DaySummary {
+  readonly routers: number;
+  readonly seconds: number;
+  readonly outcomes: Readonly<Record<string, number>>;
+  readonly reasons: Readonly<Record<string, number>>;
+  readonly teams: Readonly<Record<string, Share>>;
+  /** First byte by route, of delivered answers. */
+  readonly first: Readonly<Record<string, Quantiles>>;
+  readonly notices: readonly Notice[];
+  readonly gaps: readonly Gap[];
+  /** Lines that routers dropped, and lines that were not a router's. */
+  readonly dropped: number;
+  readonly unreadable: number;
+  /** Runs whose clock could not be compared with the others'. */
+  readonly unaligned: readonly string[];
+}
+
+const noShare: Share = {
+  requests: 0,
+  delivered: 0,
+  refused: 0,
+  failed: 0,
+  tokensAsked: 0,
+  tokensDelivered: 0,
+};
+
+/** Largest time to a first byte that the histograms tell apart: the longest time limit of a route and more. */
+const longestFirst: Milliseconds = 60_000;
+
+/** Reads the files. Throws `LogFileError`. */
+export async function summarize(paths: readonly string[]): Promise<DaySummary> {
+  const changes: LogLine[] = [];
+  const outcomes = new Map<string, number>();
+  const reasons = new Map<string, number>();
+  const teams = new Map<string, Share>();
+  const firsts = new Map<string, Histogram>();
+  let unreadable = 0;
+  let dropped = 0;
+  for (const path of paths) {
+    for await (const line of readLog(path)) {
+      const request = line === undefined ? undefined : requestOf(line);
+      if (line === undefined) unreadable += 1;
+      else if (request === undefined) changes.push(line);
+      else {
+        count(outcomes, request.outcome);
+        if (request.reason !== undefined) count(reasons, `${request.outcome} ${request.reason}`);
+        const team = request.team ?? '(none)';
+        teams.set(team, add(teams.get(team) ?? noShare, request));
+        noteFirst(firsts, request);
+      }
+      if (line?.event === 'lines dropped') dropped += Number(line.fields.lines);
+    }
+  }
+  const timeline = Timeline.create(changes);
+  const lines = changes.map((line) => ({ line, at: timeline.at(line) }));
+  lines.sort((a, b) => a.at - b.at);
+  const origin = lines[0]?.at ?? 0;
+  const timed = lines.map(({ line, at }): Timed => ({ line, at: seconds(at - origin) }));
+  return {
+    routers: new Set(changes.map(({ router }) => router)).size,
+    seconds: timed.at(-1)?.at ?? 0,
+    outcomes: Object.fromEntries(outcomes),
+    reasons: Object.fromEntries([...reasons].sort(([, a], [, b]) => b - a)),
+    teams: Object.fromEntries(
+      [...teams].sort(([, a], [, b]) => b.tokensAsked - a.tokensAsked || b.requests - a.requests),
+    ),
+    first: Object.fromEntries([...firsts].map(([route, times]) => [route, quantiles(times)])),
+    notices: timed.flatMap(noticeOf),
+    gaps: gapsOf(timed),
+    dropped,
+    unreadable,
+    unaligned: [...timeline.unaligned],
+  };
+}
+
+interface Timed {
+  readonly line: LogLine;
+  /** Seconds since the first line. */
+  readonly at: number;
+}
+
+function noteFirst(firsts: Map<string, Histogram>, request: RequestRecord): void {
+  const { route, first, outcome } = request;
+  if (route === undefined || first === undefined || outcome !== 'delivered') return;
+  let times = firsts.get(route);
+  if (times === undefined) {
+    times = build({ highestTrackableValue: longestFirst });
+    firsts.set(route, times);
+  }
+  times.recordValue(Math.min(longestFirst, first));
+}
+
+function quantiles(times: Histogram): Quantiles {
+  return {
+    median: times.getValueAtPercentile(50),
+    p95: times.getValueAtPercentile(95),
+    most: times.maxValue,
+  };
+}
+
+function add(share: Share, request: RequestRecord): Share {
+  const tokens = request.tokens?.[0] ?? 0;
+  const isDelivered = request.outcome === 'delivered';
+  return {
+    requests: share.requests + 1,
+    delivered: share.delivered + Number(isDelivered),
+    refused: share.refused + Number(request.outcome === 'refused'),
+    failed: share.failed + Number(request.outcome === 'failed'),
+    tokensAsked: share.tokensAsked + tokens,
+    tokensDelivered: share.tokensDelivered + (isDelivered ? tokens : 0),
+  };
+}
+
+/** Life of routers and what they came to believe of servers. */
+function noticeOf({ line, at }: Timed): readonly Notice[] {
+  const { router, event, fields } = line;
+  const tell = (what: string): readonly Notice[] => [{ at, router, what }];
+  switch (event) {
+    case 'starting':
+    case 'stopping':
+    case 'stopped':
+    case 'settings read again':
+      return tell(event);
+    case 'desired state refused':
+    case 'server entry refused':
+    case 'request failed inside the router':
+      return tell(`${event}: ${String(fields.detail)}`);
+    case 'server lost':
+    case 'server back':
+    case 'server faulty':
+    case 'server sound':
+      return tell(`${event}: ${String(fields.server)}`);
+    case 'servers table': {
+      const { leaving, cold, lapsed, source } = fields;
+      // Readers of the store hear first; the others repeat what they were told.
+      if (source !== 'store') return [];
+      const parts = Object.entries({ leaving, cold, lapsed }).flatMap(([name, ids]) =>
+        Array.isArray(ids) && ids.length > 0 ? [`${name} ${ids.join(', ')}`] : [],
+      );
+      return parts.length === 0 ? [] : tell(`servers ${parts.join('; ')}`);
+    }
+    default:
+      return [];
+  }
+}
+
+/** Times between the loss of a table of the store and its return, for each run. */
+function gapsOf(lines: readonly Timed[]): readonly Gap[] {
+  const open = new Map<string, Gap>();
+  const gaps: Gap[] = [];
+  for (const { line, at } of lines) {
+    const { router, event, fields } = line;
+    const table = String(fields.table);
+    const key = `${runKey(line)} ${table}`;
+    if (event === 'store is lost')
+      open.set(key, { router, dependency: `store, ${table}`, from: at, to: undefined });
+    if (event !== 'store is back') continue;
+    const gap = open.get(key);
+    if (gap !== undefined) gaps.push({ ...gap, to: at });
+    open.delete(key);
+  }
+  return [...gaps, ...open.values()].sort((a, b) => a.from - b.from);
+}
+
+function seconds(time: Milliseconds): number {
+  return Math.round(time) / 1_000;
+}
+
+function count(counts: Map<string, number>, key: string): void {
+  counts.set(key, (counts.get(key) ?? 0) + 1);
+}
--- /dev/null
+++ b/packages/catkinwheel/src/logText.ts
@@ -0,0 +1,136 @@
+// Plain text of what logs tell, for a terminal.
+
+import type { DaySummary, Share } from './daySummary.js';
+import { table } from './render.js';
+import type { Story, StoryEvent, Stories } from './story.js';
+
+/** Notices shown; `--json` has all. */
+const shownNotices = 60;
+
+export function storiesText({ stories, unreadable, dropped }: Stories): string {
+  const notes = [
+    ...(dropped > 0 ? [`${dropped} lines were dropped by routers under load.`] : []),
+    ...(unreadable > 0 ? [`${unreadable} lines are not a router's and were left out.`] : []),
+  ];
+  return [...stories.map(storyText), ...notes].join('\n');
+}
+
+function storyText(story: Story): string {
+  const { request, arrived, events, neighbours } = story;
+  const after = (time: number): string => `+${Math.round(time)} ms`;
+  const steps: (readonly [string, string])[] = [[clockTime(arrived), arrivalText(story)]];
+  for (const { server, predicted, missing, at, first, took, result } of request.attempts) {
+    const reading = missing > 0 ? `, ${missing} tokens to read` : '';
+    steps.push([
+      after(at),
+      `sent to server ${server} (first event predicted in ${predicted} ms${reading})`,
+    ]);
+    if (first !== undefined) steps.push([after(at + first), `first event, after ${first} ms`]);
+    steps.push([after(at + took), result]);
+  }
+  const reason = request.reason === undefined ? '' : `: ${request.reason}`;
+  const verdict = request.verdict === undefined ? '' : `, ${request.verdict}`;
+  const status = request.status === undefined ? '' : `, status ${request.status}`;
+  steps.push([after(request.took), `${request.outcome}${reason}${verdict}${status}`]);
+  return [
+    `request ${story.id} at ${story.router} (run ${story.boot})`,
+    ...(story.isAligned ? [] : ["  The router's clock could not be compared with the others'."]),
+    indented(table(steps)),
+    `  The router knew: ${knownText(story)}`,
+    `  Cause: ${story.cause}`,
+    `  Next: ${story.next}`,
+    ...(neighbours.length === 0 ? [] : ['  Other requests there, near that time:']),
+    ...neighbours.map(({ server, results }) => `    ${server}: ${countsText(results)}`),
+    ...(events.length === 0 ? [] : ['  Events near that time:']),
+    ...events.map((event) => `    ${eventText(event, arrived)}`),
+  ].join('\n');
+}
+
+function arrivalText({ request }: Story): string {
+  const { route, team, tokens, timeLeft } = request;
+  const parts = [
+    `arrived for route ${route ?? '(none)'}`,
+    ...(team === undefined ? [] : [`team ${team}`]),
+    ...(tokens === undefined ? [] : [`${tokens[0] ?? 0} tokens in, at most ${tokens[1] ?? 0} out`]),
+    ...(timeLeft === undefined ? [] : [`${timeLeft} ms left`]),
+  ];
+  return parts.join(', ');
+}
+
+function knownText({ request }: Story): string {
+  const { desired, waiting, reportAge } = request;
+  return [
+    desired === undefined ? 'no desired state' : `desired state ${desired}`,
+    `${waiting} requests waiting`,
+    reportAge === undefined
+      ? 'nothing of other routers'
+      : `other routers' loads ${reportAge} ms ago`,
+  ].join(', ');
+}
+
+function eventText({ at, router, event, fields }: StoryEvent, arrived: number): string {
+  const details = Object.entries(fields).map(([name, value]) => `${name} ${JSON.stringify(value)}`);
+  const offset = (at - arrived) / 1_000;
+  const sign = offset < 0 ? '' : '+';
+  return `${sign}${offset.toFixed(1)} s ${router}: ${event}${details.length > 0 ? ` (${details.join(', ')})` : ''}`;
+}
+
+export function summaryText(summary: DaySummary): string {
+  const { routers, seconds, outcomes, reasons, teams, first, notices, gaps } = summary;
+  const teamRows = Object.entries(teams).map(([team, share]) => shareRow(team, share));
+  const firstRows = Object.entries(first).map(([route, { median, p95, most }]) => [
+    route,
+    String(median),
+    String(p95),
+    String(most),
+  ]);
+  const gapRows = gaps.map(({ router, dependency, from, to }) => [
+    router,
+    dependency,
+    from.toFixed(1),
+    to === undefined ? 'to the end' : to.toFixed(1),
+  ]);
+  const shown = notices.slice(0, shownNotices);
+  const more = notices.length - shown.length;
+  return [
+    `${routers} routers, ${seconds.toFixed(0)} s; requests: ${countsText(outcomes)}`,
+    `reasons: ${countsText(reasons)}`,
+    '',
+    table([
+      ['TEAM', 'REQUESTS', 'DELIVERED', 'REFUSED', 'FAILED', 'TOKENS ASKED', 'GIVEN'],
+      ...teamRows,
+    ]),
+    '',
+    table([['ROUTE', 'FIRST BYTE MS', 'P95', 'MOST'], ...firstRows]),
+    '',
+    gapRows.length === 0
+      ? 'no dependency was lost'
+      : table([['ROUTER', 'LOST', 'FROM S', 'TO S'], ...gapRows]),
+    '',
+    ...shown.map(({ at, router, what }) => `${at.toFixed(1)} s ${router}: ${what}`),
+    ...(more > 0 ? [`and ${more} more; --json shows all`] : []),
+    `${summary.dropped} lines dropped under load, ${summary.unreadable} lines not a router's`,
+    ...summary.unaligned.map((run) => `the clock of ${run} could not be compared`),
+  ].join('\n');
+}
+
+function shareRow(team: string, share: Share): readonly string[] {
+  const { requests, delivered, refused, failed, tokensAsked, tokensDelivered } = share;
+  return [
+    team,
+    ...[requests, delivered, refused, failed, tokensAsked, tokensDelivered].map(String),
+  ];
+}
+
+function countsText(counts: Readonly<Record<string, number>>): string {
+  const parts = Object.entries(counts).map(([name, count]) => `${count} ${name}`);
+  return parts.length === 0 ? 'none' : parts.join(', ');
+}
+
+function clockTime(time: number): string {
+  return new Date(time).toISOString().slice(11, 23);
+}
+
+function indented(text: string): string {
+  return text.replaceAll(/^/gm, '  ');
+}
--- /dev/null
+++ b/packages/catkinwheel/src/routerLog.ts
@@ -0,0 +1,118 @@
+// Lines that routers wrote to their standard output, as collected in files. A collector may put its own words
+// before a line, and a file may end in the middle of one.
+
+import { createReadStream } from 'node:fs';
+import { createInterface } from 'node:readline';
+import type { Milliseconds } from '@catkinwheel/state';
+import {
+  Codec,
+  array,
+  exactly,
+  number,
+  optional,
+  record,
+  string,
+  unknown,
+  type GetType,
+} from 'purify-ts';
+
+/** One line of one run of a router. */
+export interface LogLine {
+  readonly router: string;
+  /** Tells the runs of one router apart. */
+  readonly boot: string;
+  /** Time of day at the VM, which may be wrong and may jump. */
+  readonly time: Milliseconds;
+  /** Time since the run started; never goes back. */
+  readonly up: Milliseconds;
+  readonly event: string;
+  readonly fields: Readonly<Record<string, unknown>>;
+}
+
+/** A file of log lines that could not be read on. */
+export class LogFileError extends Error {}
+
+const headCodec = Codec.interface({
+  time: string,
+  router: string,
+  boot: string,
+  up: number,
+  event: string,
+});
+
+const attemptCodec = Codec.interface({
+  server: string,
+  predicted: number,
+  missing: number,
+  at: number,
+  first: optional(number),
+  took: number,
+  result: string,
+});
+
+const basisCodec = Codec.interface({
+  server: string,
+  start: number,
+  limit: number,
+  received: number,
+});
+
+const requestCodec = Codec.interface({
+  id: optional(string),
+  outcome: exactly('delivered', 'refused', 'rejected', 'failed'),
+  reason: optional(string),
+  verdict: optional(string),
+  status: optional(number),
+  route: optional(string),
+  team: optional(string),
+  tokens: optional(array(number)),
+  timeLeft: optional(number),
+  first: optional(number),
+  took: number,
+  desired: optional(number),
+  waiting: number,
+  reportAge: optional(number),
+  basis: optional(basisCodec),
+  attempts: array(attemptCodec),
+});
+
+/** The end of one request, as its router tells it. Times in milliseconds. */
+export type RequestRecord = GetType<typeof requestCodec>;
+
+/** Yields the lines of a file in their order, and `undefined` for each that is not a router's. */
+export async function* readLog(path: string): AsyncGenerator<LogLine | undefined> {
+  const input = createReadStream(path, 'utf8');
+  try {
+    for await (const text of createInterface({ input, crlfDelay: Infinity }))
+      if (text.trim() !== '') yield parseLine(text);
+  } catch (error) {
+    throw new LogFileError(error instanceof Error ? error.message : String(error));
+  } finally {
+    input.destroy();
+  }
+}
+
+/** The line of a router in `text`; undefined if there is none. */
+export function parseLine(text: string): LogLine | undefined {
+  const start = text.indexOf('{');
+  if (start < 0) return undefined;
+  let json: unknown;
+  try {
+    json = JSON.parse(text.slice(start));
+  } catch {
+    // The caller counts what cannot be read.
+    return undefined;
+  }
+  const head = headCodec.decode(json).toMaybe().extract();
+  const all = record(string, unknown).decode(json).toMaybe().extract();
+  if (head === undefined || all === undefined) return undefined;
+  const time = Date.parse(head.time);
+  if (Number.isNaN(time)) return undefined;
+  return { ...head, time, fields: all };
+}
+
+/** The request that a line tells of; undefined if it tells of something else or cannot be read. */
+export function requestOf(line: LogLine): RequestRecord | undefined {
+  if (line.event !== 'request') return undefined;
+  return requestCodec.decode(line.fields).toMaybe().extract();
+}
--- /dev/null
+++ b/packages/catkinwheel/src/story.ts
@@ -0,0 +1,232 @@
+// What became of one request and why, told from the logs of all routers.
+
+import type { Milliseconds } from '@catkinwheel/state';
+import { readLog, requestOf, type LogLine, type RequestRecord } from './routerLog.js';
+import { Timeline, runKey } from './timeline.js';
+
+/** Time before a request's arrival from which events can matter to it. */
+const before: Milliseconds = 5_000;
+/** Time after its end in which the cause may first show in the log. */
+const after: Milliseconds = 2_000;
+/** Events told at most; the nearest to the request's end are kept. */
+const mostEvents = 25;
+
+/** Events of a router that touch every request there. */
+const routerEvents: ReadonlySet<string> = new Set([
+  'starting',
+  'listening',
+  'stopping',
+  'stopped',
+  'settings read again',
+  'store is lost',
+  'store is back',
+  'store lost its history',
+  'desired state in force',
+  'desired state refused',
+  'lines dropped',
+  'request failed inside the router',
+]);
+
+/** An event near the request, `at` in common time. */
+export interface StoryEvent {
+  readonly at: Milliseconds;
+  readonly router: string;
+  readonly event: string;
+  readonly fields: Readonly<Record<string, unknown>>;
+}
+
+/** What other requests met at a server near that time. */
+export interface Neighbours {
+  readonly server: string;
+  /** Attempts by result. */
+  readonly results: Readonly<Record<string, number>>;
+}
+
+/** All that the logs tell of one request. */
+export interface Story {
+  readonly id: string;
+  readonly router: string;
+  readonly boot: string;
+  /** Arrival in common time. */
+  readonly arrived: Milliseconds;
+  readonly request: RequestRecord;
+  readonly cause: string;
+  readonly next: string;
+  readonly events: readonly StoryEvent[];
+  readonly neighbours: readonly Neighbours[];
+  /** Whether the router's clock could be compared with the others'. */
+  readonly isAligned: boolean;
+}
+
+/** The stories of a request in the log files; more than one if several routers received its id. */
+export interface Stories {
+  readonly stories: readonly Story[];
+  /** Lines that were not a router's. */
+  readonly unreadable: number;
+  /** Lines that routers dropped because there were too many. */
+  readonly dropped: number;
+}
+
+/** Reads the files and tells what became of request `id`. Throws `LogFileError`. */
+export async function explain(id: string, paths: readonly string[]): Promise<Stories> {
+  const lines: LogLine[] = [];
+  let unreadable = 0;
+  let dropped = 0;
+  for (const path of paths) {
+    for await (const line of readLog(path)) {
+      if (line === undefined) unreadable += 1;
+      else lines.push(line);
+      if (line?.event === 'lines dropped') dropped += Number(line.fields.lines);
+    }
+  }
+  const timeline = Timeline.create(lines);
+  const stories = lines.flatMap((line) => {
+    const request = requestOf(line);
+    return request?.id === id ? [tell(line, request, lines, timeline)] : [];
+  });
+  return { stories, unreadable, dropped };
+}
+
+function tell(
+  line: LogLine,
+  request: RequestRecord,
+  lines: readonly LogLine[],
+  timeline: Timeline,
+): Story {
+  const ended = timeline.at(line);
+  const arrived = ended - request.took;
+  const near = lines.filter((other) => {
+    const at = timeline.at(other);
+    return at >= arrived - before && at <= ended + after;
+  });
+  const servers = new Set(request.attempts.map(({ server }) => server));
+  if (request.basis !== undefined) servers.add(request.basis.server);
+  const events = near
+    .filter((other) => touches(other, line, servers))
+    .map((other) => ({
+      at: timeline.at(other),
+      router: other.router,
+      event: other.event,
+      fields: detailsOf(other),
+    }))
+    .sort((a, b) => Math.abs(a.at - ended) - Math.abs(b.at - ended))
+    .slice(0, mostEvents)
+    .sort((a, b) => a.at - b.at);
+  return {
+    id: request.id ?? '',
+    router: line.router,
+    boot: line.boot,
+    arrived,
+    request,
+    ...causeOf(request),
+    events,
+    neighbours: [...servers].map((server) => neighboursOf(server, near, line)),
+    isAligned: !timeline.unaligned.has(runKey(line)),
+  };
+}
+
+/** Whether an event is one of the request's router or of a server that it needed. */
+function touches(other: LogLine, own: LogLine, servers: ReadonlySet<string>): boolean {
+  if (other.event === 'request') return false;
+  if (other.router === own.router && routerEvents.has(other.event)) return true;
+  const { server, key, leaving, cold, lapsed } = other.fields;
+  const named = [server, key, leaving, cold, lapsed].flat();
+  return named.some((name) => typeof name === 'string' && servers.has(name));
+}
+
+function detailsOf(line: LogLine): Readonly<Record<string, unknown>> {
+  const head = new Set(['time', 'router', 'boot', 'up', 'event']);
+  return Object.fromEntries(Object.entries(line.fields).filter(([name]) => !head.has(name)));
+}
+
+function neighboursOf(server: string, near: readonly LogLine[], own: LogLine): Neighbours {
+  const results = new Map<string, number>();
+  for (const line of near) {
+    if (line === own) continue;
+    for (const attempt of requestOf(line)?.attempts ?? []) {
+      if (attempt.server !== server) continue;
+      results.set(attempt.result, (results.get(attempt.result) ?? 0) + 1);
+    }
+  }
+  return { server, results: Object.fromEntries(results) };
+}
+
+interface Explanation {
+  readonly cause: string;
+  readonly next: string;
+}
+
+/** The decision that ended the request in words, and what to look at next. */
+function causeOf(request: RequestRecord): Explanation {
+  const { reason = '', basis, attempts, waiting } = request;
+  const last = attempts.at(-1);
+  switch (reason) {
+    case '':
+      return {
+        cause: 'The answer was delivered.',
+        next: 'If it was late, compare when it was sent and its first event with what was predicted.',
+      };
+    case 'overload': {
+      const decided =
+        basis === undefined
+          ? `${waiting} requests waited at the router`
+          : `its first event was predicted in ${basis.start} ms at ${basis.server}, ` +
+            `and ${basis.limit} ms were left for it; its team had received ${basis.received} tokens`;
+      return {
+        cause: `There was no room in time: ${decided}.`,
+        next: 'See whether one team floods and whether servers are cold, lost or leaving (catkinwheel logs).',
+      };
+    }
+    case 'noServer':
+      return {
+        cause: 'No usable server of its service was known.',
+        next: "See the last 'servers table' and 'server lost' of this router.",
+      };
+    case 'noDesiredState':
+      return {
+        cause: 'The router had just started and knew no desired state yet.',
+        next: "See 'starting', 'store is lost' and 'desired state in force' of this router.",
+      };
+    case 'stopping':
+      return {
+        cause: 'The router was stopping and took no new requests.',
+        next: "See 'stopping' of this router; callers keep the directory's answer for some seconds.",
+      };
+    case 'unknownRoute':
+    case 'unknownKey':
+      return {
+        cause: `Desired state ${request.desired ?? '(none)'} has no such ${reason === 'unknownKey' ? 'key' : 'route'}.`,
+        next: "Compare with 'desired state in force' of the other routers at that time.",
+      };
+    case 'bodyTooLarge':
+      return { cause: 'The body is larger than allowed.', next: 'Nothing failed.' };
+    case 'callerGone':
+      return {
+        cause: 'The caller closed its connection before the answer was complete.',
+        next: 'See how long it had waited: callers leave a stream that is silent.',
+      };
+    case 'deadline':
+      return {
+        cause:
+          last === undefined
+            ? 'Its time was over while it waited for a server.'
+            : `Its time was over after ${last.took} ms at ${last.server}, predicted were ${last.predicted} ms.`,
+        next: 'See what others met at that server; if all are slow there, the server is.',
+      };
+    case 'serverRefused':
+      return {
+        cause: `Server ${last?.server ?? ''} refused it without running it.`,
+        next: 'See what others met at that server: it is full, or its limits are below what is assumed.',
+      };
+    case 'internal':
+      return {
+        cause: 'The router itself failed.',
+        next: "See 'request failed inside the router' with the stack.",
+      };
+    default:
+      return {
+        cause: `Server ${last?.server ?? ''} failed it: ${last?.result ?? reason}.`,
+        next: 'See what others met at that server; only this request: one answer was spoilt.',
+      };
+  }
+}
--- /dev/null
+++ b/packages/catkinwheel/src/timeline.ts
@@ -0,0 +1,100 @@
+// One time for the logs of several routers. Their clocks differ and jump, but all of them log each version of
+// the store's tables, which reach every router within moments of one another.
+
+import type { Milliseconds } from '@catkinwheel/state';
+import type { LogLine } from './routerLog.js';
+
+/** Events that all routers log for the same versions. */
+const sharedEvents: ReadonlySet<string> = new Set(['operators table', 'servers table']);
+
+interface Run {
+  readonly key: string;
+  /** Time of day at its start by the VM's clock at that time. */
+  readonly start: Milliseconds;
+  /** Time since the start at which each shared version was first logged. */
+  readonly versions: Map<string, Milliseconds>;
+}
+
+/** Common time of lines of several runs. */
+export class Timeline {
+  private constructor(
+    /** Common time at which each run started. */
+    private readonly starts: ReadonlyMap<string, Milliseconds>,
+    /** Runs whose clock could not be compared with the others. */
+    readonly unaligned: ReadonlySet<string>,
+  ) {}
+
+  /** Aligns the runs that `lines` tell of, which are in order for each run. */
+  static create(lines: Iterable<LogLine>): Timeline {
+    const runs = [...collect(lines).values()].sort((a, b) => b.versions.size - a.versions.size);
+    const starts = new Map<string, Milliseconds>();
+    const [reference] = runs;
+    if (reference !== undefined) starts.set(reference.key, reference.start);
+    // Runs that share no version with the reference may share one with a run that is already aligned.
+    for (let known = 0; known < starts.size;) {
+      known = starts.size;
+      for (const run of runs) {
+        if (starts.has(run.key)) continue;
+        const start = startOf(run, runs, starts);
+        if (start !== undefined) starts.set(run.key, start);
+      }
+      if (known === starts.size) break;
+    }
+    const unaligned = runs.filter(({ key }) => !starts.has(key));
+    for (const { key, start } of unaligned) starts.set(key, start);
+    return new Timeline(starts, new Set(unaligned.map(({ key }) => key)));
+  }
+
+  /** Common time of a line. */
+  at(line: LogLine): Milliseconds {
+    return (this.starts.get(runKey(line)) ?? line.time - line.up) + line.up;
+  }
+}
+
+/** Names the run that wrote the line. */
+export function runKey({ router, boot }: LogLine): string {
+  return `${router} ${boot}`;
+}
+
+function collect(lines: Iterable<LogLine>): Map<string, Run> {
+  const runs = new Map<string, Run>();
+  for (const line of lines) {
+    const key = runKey(line);
+    let run = runs.get(key);
+    if (run === undefined) {
+      run = { key, start: line.time - line.up, versions: new Map() };
+      runs.set(key, run);
+    }
+    const { version } = line.fields;
+    if (!sharedEvents.has(line.event) || typeof version !== 'number') continue;
+    const name = `${line.event} ${version}`;
+    if (!run.versions.has(name)) run.versions.set(name, line.up);
+  }
+  // What a run reads first may be old news.
+  for (const run of runs.values()) {
+    for (const event of sharedEvents) {
+      const first = [...run.versions.keys()].find((name) => name.startsWith(event));
+      if (first !== undefined) run.versions.delete(first);
+    }
+  }
+  return runs;
+}
+
+/** Median of what the shared versions say; undefined if none is shared with an aligned run. */
+function startOf(
+  run: Run,
+  runs: readonly Run[],
+  starts: ReadonlyMap<string, Milliseconds>,
+): Milliseconds | undefined {
+  const guesses: Milliseconds[] = [];
+  for (const other of runs) {
+    const start = starts.get(other.key);
+    if (start === undefined) continue;
+    for (const [name, up] of other.versions) {
+      const own = run.versions.get(name);
+      if (own !== undefined) guesses.push(start + up - own);
+    }
+  }
+  guesses.sort((a, b) => a - b);
+  return guesses[Math.floor(guesses.length / 2)];
+}
--- a/packages/coordination/src/routing/admission.test.ts
+++ b/packages/coordination/src/routing/admission.test.ts
@@ -85,6 +85,24 @@
   );
 });
 
+// Two large teams wait all the time and one is urgent: it received twice as much, over all routers three times.
+test('an urgent team gets hardly more than another one that waits as much', async () => {
+  const { clock, capacity, admission } = setUp();
+  const teams = { urgent: 0, other: 1 } as const;
+  const send = (team: keyof typeof teams): void => {
+    void admission.admit(job(clock, { team, priority: teams[team] }), never);
+  };
+  for (let served = 0; served < 200; served += 1) {
+    send('urgent');
+    send('other');
+    await clock.advance(10);
+    capacity.free = 1;
+    admission.pump();
+  }
+  const [urgent, other] = [capacity.received('urgent'), capacity.received('other')];
+  assert.ok(other >= 0.85 * urgent, `${other} of ${urgent}`);
+});
+
 test('what can still be on time goes before what cannot', async () => {
   const { clock, capacity, admission } = setUp();
   void admission.admit(job(clock), never);
--- a/packages/coordination/src/routing/admission.ts
+++ b/packages/coordination/src/routing/admission.ts
@@ -81,8 +81,12 @@
 const noServerPatience = 0.5;
 /** A first event that is predicted nearer to its aim than this is as likely late as not. */
 const lateMargin: Milliseconds = 100;
-/** A team that has received less than this part of what another one got goes first, also when late. */
-const underserved = 0.6;
+/**
+ * A team that has received less than this part of what another one got goes first, also when late. Urgent
+ * teams keep this head start over others; what other routers gave is known late and adds to it, and a
+ * team must not fall to half of what another one gets.
+ */
+const underserved = 0.9;
 
 interface Waiter {
   readonly job: Job;
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -439,6 +439,7 @@
       status: this.#answer.status,
       route: route?.name,
       team: this.#team?.name,
+      priority: this.#team?.priority ?? route?.priority,
       tokens: tokensOf(this.#head.prompt),
       timeLeft: this.#head.timeLeft,
       first: rounded(this.#firstByte),
