Forget service given to teams by degrees instead of all at once

Cause: teams were compared by what they received in a window of 4 s. Change: what was received decays with 2 s, the mean age of the window.

--- a/packages/coordination/src/routing/teamShares.ts
+++ b/packages/coordination/src/routing/teamShares.ts
@@ -2,14 +2,24 @@
 // received least of the capacity lately goes first, over all routers.
 
 import type { Clock, Milliseconds } from '@catkinwheel/state';
-import { SlidingSum } from './window.js';
 
-/** Time over which service is compared: the window in which teams are owed equal shares. */
-const window: Milliseconds = 4_000;
+/**
+ * Time in which service is forgotten to 1/e. The mean age of what counts is that of a full window of 4 s, in
+ * which teams are owed equal shares. A window that forgets all at once makes teams take turns for seconds: one
+ * that had much before gets nothing until it is even, and everything when that leaves the window.
+ */
+const memory: Milliseconds = 2_000;
+/** Tokens below which a team counts as not served. */
+const forgotten = 1;
+
+interface Amount {
+  readonly tokens: number;
+  readonly at: Milliseconds;
+}
 
 /** Service that teams have received lately from this router, in tokens. */
 export class TeamShares {
-  readonly #own = new Map<string, SlidingSum>();
+  readonly #own = new Map<string, Amount>();
 
   private constructor(private readonly clock: Clock) {}
 
@@ -19,26 +29,24 @@
 
   /** Counts service when it is given. */
   serve(team: string, tokens: number): void {
-    let sum = this.#own.get(team);
-    if (sum === undefined) {
-      sum = SlidingSum.create(this.clock, window);
-      this.#own.set(team, sum);
-    }
-    sum.add(tokens);
+    const at = this.clock.now();
+    this.#own.set(team, { tokens: this.received(team) + tokens, at });
   }
 
   /** What this router has given, by team. */
   own(): ReadonlyMap<string, number> {
     const totals = new Map<string, number>();
-    for (const [team, sum] of this.#own) {
-      const total = sum.total();
-      if (total > 0) totals.set(team, total);
+    for (const team of this.#own.keys()) {
+      const tokens = this.received(team);
+      if (tokens >= forgotten) totals.set(team, tokens);
       else this.#own.delete(team);
     }
     return totals;
   }
 
   received(team: string): number {
-    return this.#own.get(team)?.total() ?? 0;
+    const amount = this.#own.get(team);
+    if (amount === undefined) return 0;
+    return amount.tokens * Math.exp((amount.at - this.clock.now()) / memory);
   }
 }
