Soak real routers on the platform's protocol

It checks at most once, true refusals, whole answers, no key passed on, new desired states in force, drained servers left alone and planned stops that cut nothing.

--- a/packages/standins/src/stack/caller.ts
+++ b/packages/standins/src/stack/caller.ts
@@ -1,6 +1,6 @@
 // A caller on the platform's protocol. It tells a whole answer from one that broke off.
 
-import { request, type IncomingHttpHeaders } from 'node:http';
+import { request, type Agent, type IncomingHttpHeaders } from 'node:http';
 
 /** What a caller got. */
 export interface CallResult {
@@ -22,11 +22,13 @@
   readonly key?: string;
   readonly headers?: Readonly<Record<string, string>>;
   readonly timeLeft?: number;
+  /** Keeps connections open between requests; without it each request has one of its own. */
+  readonly agent?: Agent;
   /** Aborts the request when the caller leaves. */
   readonly signal?: AbortSignal;
 }
 
-/** Sends one request on a connection of its own. Never rejects. */
+/** Sends one request. Never rejects. */
 export function call(options: CallOptions): Promise<CallResult> {
   const [hostname, port] = options.address.split(':');
   return new Promise((resolve) => {
@@ -42,7 +44,7 @@
         port,
         path: options.path,
         method: options.method ?? 'GET',
-        agent: false,
+        agent: options.agent ?? false,
         ...(options.signal === undefined ? {} : { signal: options.signal }),
         headers: {
           host: options.host,
--- a/packages/standins/src/stack/fleet.ts
+++ b/packages/standins/src/stack/fleet.ts
@@ -164,7 +164,7 @@
   return Number(address?.split(':').at(-1) ?? 0);
 }
 
-async function freePorts(count: number): Promise<readonly number[]> {
+export async function freePorts(count: number): Promise<readonly number[]> {
   const servers = await Promise.all(
     Array.from({ length: count }, async () => {
       const server = createServer();
--- /dev/null
+++ b/packages/standins/src/stack/routerProcess.ts
@@ -0,0 +1,150 @@
+// A router of the platform deployment as a process of its own, which can be killed, frozen and stopped.
+
+import { spawn, type ChildProcess } from 'node:child_process';
+import { createWriteStream, mkdirSync, writeFileSync } from 'node:fs';
+import { createRequire } from 'node:module';
+import { dirname, join } from 'node:path';
+import type { Milliseconds } from '@catkinwheel/state';
+import { pause } from './fleet.js';
+
+const gatewayMain = join(
+  dirname(createRequire(import.meta.url).resolve('@catkinwheel/gateway')),
+  'main.js',
+);
+/** Time within which a router has to be ready after its start, with nothing wrong around it. */
+const readyWithin: Milliseconds = 10_000;
+const askInterval: Milliseconds = 50;
+
+const running = new Set<ChildProcess>();
+process.on('exit', () => {
+  for (const child of running) child.kill('SIGKILL');
+});
+
+/** Ports of a router, the same at every address of a fleet. */
+export interface Ports {
+  readonly link: number;
+  readonly callers: number;
+  readonly ready: number;
+  readonly control: number;
+  readonly directory: number;
+}
+
+/** One router of a fleet at an address of its own. It may be started several times. */
+export class RouterProcess {
+  #child: ChildProcess | undefined;
+  #exited: Promise<number | null> = Promise.resolve(null);
+  #starts = 0;
+
+  private constructor(
+    readonly name: string,
+    private readonly options: {
+      readonly ip: string;
+      readonly ports: Ports;
+      readonly dataCentre: string;
+      readonly store: string;
+      readonly seeds: readonly string[];
+      /** Folder for the settings file and the log. */
+      readonly folder: string;
+      readonly grace: Milliseconds;
+    },
+  ) {}
+
+  static create(name: string, options: RouterProcess['options']): RouterProcess {
+    return new RouterProcess(name, options);
+  }
+
+  get callers(): string {
+    return `${this.options.ip}:${this.options.ports.callers}`;
+  }
+
+  /** Tells the runs of the router apart. */
+  get run(): number {
+    return this.#starts;
+  }
+
+  get isRunning(): boolean {
+    return this.#child !== undefined;
+  }
+
+  start(): void {
+    const { ip, ports, dataCentre, store, seeds, folder, grace } = this.options;
+    mkdirSync(folder, { recursive: true });
+    const at = (port: number): string => `${ip}:${port}`;
+    const file = join(folder, `${this.name}.json`);
+    const settings = {
+      nodeName: this.name,
+      ip,
+      zone: dataCentre,
+      region: 'viti-levu',
+      zones: { suva: 'viti-levu', nadi: 'viti-levu' },
+      listen: {
+        front: at(ports.callers),
+        ready: at(ports.ready),
+        control: at(ports.control),
+        directory: at(ports.directory),
+      },
+      internalPorts: [ports.link, ports.link + 20],
+      seedNodes: seeds,
+      bootstrap: this.#starts === 0,
+      bounds: { graceS: grace / 1_000, budgetSlack: 54 },
+      platform: { address: store },
+    };
+    writeFileSync(file, JSON.stringify(settings));
+    this.#starts += 1;
+    const child = spawn(process.execPath, [gatewayMain], {
+      env: { PATH: process.env.PATH, CATKINWHEEL_BOOT: file },
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
+    running.add(child);
+    this.#child = child;
+    const log = createWriteStream(join(folder, `${this.name}.log`), { flags: 'a' });
+    child.stdout.pipe(log, { end: false });
+    child.stderr.pipe(log, { end: false });
+    this.#exited = new Promise((resolve) => {
+      child.on('exit', (code) => {
+        running.delete(child);
+        if (this.#child === child) this.#child = undefined;
+        log.end();
+        resolve(code);
+      });
+    });
+  }
+
+  /** Resolves once the router says that it is ready. Rejects if it does not in time. */
+  async ready(): Promise<void> {
+    const end = Date.now() + readyWithin;
+    while (Date.now() < end) {
+      if (await this.#isReady()) return;
+      await pause(askInterval);
+    }
+    throw new Error(`${this.name} is not ready after ${readyWithin} ms`);
+  }
+
+  async kill(): Promise<void> {
+    this.#child?.kill('SIGKILL');
+    await this.#exited;
+  }
+
+  /** Sends SIGTERM; resolves with the exit code. */
+  async stop(): Promise<number | null> {
+    this.#child?.kill('SIGTERM');
+    return this.#exited;
+  }
+
+  signal(name: 'SIGSTOP' | 'SIGCONT' | 'SIGHUP'): void {
+    this.#child?.kill(name);
+  }
+
+  async #isReady(): Promise<boolean> {
+    const { ip, ports } = this.options;
+    try {
+      const answer = await fetch(`http://${ip}:${ports.ready}/-/ready`, {
+        signal: AbortSignal.timeout(1_000),
+      });
+      return answer.status === 200;
+    } catch {
+      // Not listening yet, or frozen: the caller asks again.
+      return false;
+    }
+  }
+}
--- a/packages/standins/src/stack/server.ts
+++ b/packages/standins/src/stack/server.ts
@@ -33,6 +33,8 @@
   readonly path: string;
   readonly headers: Readonly<Record<string, string | string[] | undefined>>;
   readonly body: string;
+  /** When it came, by the process's clock. */
+  readonly at: number;
 }
 
 /** Events of a stream of the stand-in. */
@@ -109,7 +111,7 @@
     }
     const id = String(headers['request-id']);
     const body = Buffer.concat(chunks).toString('utf8');
-    this.seen.push({ id, method, path: url, headers, body });
+    this.seen.push({ id, method, path: url, headers, body, at: performance.now() });
     response.on('close', () => {
       if (!response.writableFinished) this.left.push(id);
     });
--- /dev/null
+++ b/packages/standins/src/stack/soak.ts
@@ -0,0 +1,503 @@
+// A soak of real router processes on the platform's protocol: random faults from a seed, in series that overlap,
+// and the promises checked from what callers and servers see.
+
+import { Agent } from 'node:http';
+import type { Milliseconds } from '@catkinwheel/state';
+import { oneOf, randomFrom, type Random } from '../random.js';
+import { Relay } from '../relay.js';
+import { call, type CallResult } from './caller.js';
+import { desiredStateOf, freePorts, names, pause } from './fleet.js';
+import { RouterProcess } from './routerProcess.js';
+import { StackServer, streamLength, type Behaviour } from './server.js';
+import { StackStore } from './store.js';
+
+/** Time limit of the deployment's routes. */
+const timeout: Milliseconds = 3_000;
+/** Time after a route's limit in which its request must have ended: half a second, and the machine's own delays. */
+const endWithin: Milliseconds = 2_500;
+/** Time in which a new desired state has to be in force at undisturbed routers, and the machine's own delays. */
+const inForceWithin: Milliseconds = 3_500;
+/** Time in which a leaving server must get no new request any more, and the machine's own delays. */
+const drainedWithin: Milliseconds = 3_000;
+/** A router counts as undisturbed after this time without a fault on it, its store or its machine. */
+const settled: Milliseconds = 4_000;
+/** Time from SIGTERM to SIGKILL. */
+const grace: Milliseconds = 5_000;
+/** Time for which callers keep the directory's answer. */
+const addressLife: Milliseconds = 1_000;
+/** Time between two requests of one caller. */
+const callPause: Milliseconds = 25;
+/** Time between two faults, and duration of a fault, at random within these. */
+const quiet = { least: 100, most: 900 } as const;
+const lasting = { least: 200, most: 3_000 } as const;
+/** Time in which a router is started again after it ended. */
+const restart = { least: 50, most: 1_500 } as const;
+
+/** Failures of single answers, drawn for the next few requests of a server. */
+const behaviours: readonly Behaviour[] = [
+  'refuses',
+  'errors',
+  'resets',
+  'cuts',
+  'resetsUnframed',
+  'resetsChunked',
+  'confuses',
+  'hangs',
+];
+/** Kinds of requests. Only charges may run at most once. */
+const kinds = ['letters', 'reads', 'charges'] as const;
+
+export interface SoakOptions {
+  readonly seed: number;
+  readonly duration: Milliseconds;
+  readonly routers: number;
+  readonly callers: number;
+  /** Folder for settings and logs of the routers. */
+  readonly folder: string;
+  readonly tell: (line: string) => void;
+}
+
+export interface SoakResult {
+  readonly seed: number;
+  readonly faults: number;
+  readonly requests: number;
+  readonly served: number;
+  readonly violations: readonly string[];
+}
+
+interface Backend {
+  readonly server: StackServer;
+  readonly relay: Relay;
+  readonly service: string;
+  /** When the store took its entry as leaving. */
+  leaving?: number;
+}
+
+interface Node {
+  readonly router: RouterProcess;
+  readonly store: Relay;
+  /** When the last fault that touches it ends or ended. */
+  disturbedUntil: number;
+}
+
+interface Request {
+  readonly id: string;
+  readonly kind: (typeof kinds)[number];
+  readonly node: Node;
+  readonly run: number;
+  readonly sent: number;
+  readonly version: number;
+}
+
+/** One run of the soak. */
+export class Soak {
+  readonly #random: Random;
+  readonly #nodes: Node[] = [];
+  readonly #backends: Backend[] = [];
+  readonly #violations = new Set<string>();
+  readonly #busy = new Map<string, Promise<void>>();
+  readonly #refused: string[] = [];
+  readonly #ended = new AbortController();
+  #version = 1;
+  /** When the store took each version. */
+  readonly #versions = new Map<number, number>([[1, performance.now()]]);
+  #storeDisturbedUntil = 0;
+  #lastServer = 0;
+  #faults = 0;
+  #requests = 0;
+  #served = 0;
+
+  private constructor(
+    private readonly options: SoakOptions,
+    private readonly store: StackStore,
+  ) {
+    this.#random = randomFrom(options.seed);
+  }
+
+  /** Runs faults for the duration, heals everything, and checks what is left. */
+  static async run(options: SoakOptions): Promise<SoakResult> {
+    const soak = new Soak(options, await StackStore.start());
+    try {
+      await soak.#setUp();
+      const callers = Array.from({ length: options.callers }, (_, index) => soak.#caller(index));
+      const end = performance.now() + options.duration;
+      while (performance.now() < end) {
+        await pause(soak.#between(quiet));
+        soak.#startFault();
+      }
+      await Promise.all(soak.#busy.values());
+      await soak.#calmStops();
+      soak.#ended.abort();
+      await Promise.all(callers);
+      soak.#checkRuns();
+    } catch (error) {
+      soak.#violate(`the soak failed: ${String(error)}`);
+    } finally {
+      soak.#ended.abort();
+      await soak.#close();
+    }
+    const [faults, requests, served] = [soak.#faults, soak.#requests, soak.#served];
+    return { seed: options.seed, faults, requests, served, violations: [...soak.#violations] };
+  }
+
+  async #setUp(): Promise<void> {
+    const { routers, folder } = this.options;
+    for (const service of [names.model, names.desk])
+      for (let index = 0; index < 3; index += 1) await this.#addServer(service);
+    this.store.put('op', 'config', desiredStateOf(1));
+    const [link = 0, callers = 0, ready = 0, control = 0, directory = 0] = await freePorts(5);
+    const ports = { link, callers, ready, control, directory };
+    const ipOf = (index: number): string => `127.1.${Math.floor(index / 200)}.${(index % 200) + 2}`;
+    const seeds = [0, 1, 2].map((index) => `${ipOf(index)}:${control}`);
+    for (let index = 0; index < routers; index += 1) {
+      const store = await Relay.create();
+      store.point(this.store.address);
+      const dataCentre = index % 2 === 0 ? 'suva' : 'nadi';
+      const place = { ip: ipOf(index), ports, dataCentre, store: store.address };
+      const router = RouterProcess.create(`router-${index}`, { ...place, seeds, folder, grace });
+      this.#nodes.push({ router, store, disturbedUntil: 0 });
+    }
+    for (const { router } of this.#nodes) router.start();
+    await Promise.all(this.#nodes.map(({ router }) => router.ready()));
+    for (const node of this.#nodes) node.disturbedUntil = performance.now();
+  }
+
+  async #addServer(service: string): Promise<void> {
+    this.#lastServer += 1;
+    const server = await StackServer.start(`server-${this.#lastServer}`);
+    const relay = await Relay.create();
+    relay.point(server.address);
+    const backend: Backend = { server, relay, service };
+    this.#backends.push(backend);
+    this.#register(backend, {});
+  }
+
+  #register({ server, relay, service }: Backend, changes: Readonly<Record<string, unknown>>): void {
+    const entry = { address: relay.address, ...changes };
+    this.store.put('servers', server.id, server.entry(service, entry));
+  }
+
+  /** Sends requests one after the other on open connections until the soak ends. */
+  async #caller(index: number): Promise<void> {
+    const random = randomFrom(this.options.seed * 1_000 + index);
+    const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+    let node = oneOf(random, this.#nodes);
+    let chosen = -Infinity;
+    while (!this.#ended.signal.aborted) {
+      if (performance.now() - chosen > addressLife) {
+        node = this.#ready(random) ?? node;
+        chosen = performance.now();
+      }
+      await this.#request(node, oneOf(random, kinds), agent);
+      await pause(callPause);
+    }
+    agent.destroy();
+  }
+
+  /** A router that runs, as a caller finds it by the directory. */
+  #ready(random: Random): Node | undefined {
+    const running = this.#nodes.filter(({ router }) => router.isRunning);
+    return running.length === 0 ? undefined : oneOf(random, running);
+  }
+
+  async #request(node: Node, kind: Request['kind'], agent: Agent): Promise<void> {
+    this.#requests += 1;
+    const id = `${kind}-${this.#requests}`;
+    const sent = performance.now();
+    const sending: Request = { id, kind, node, run: node.router.run, sent, version: this.#version };
+    const isStream = kind === 'letters';
+    const result = await call({
+      address: node.router.callers,
+      path: `/${kind}/${id}`,
+      host: names.host,
+      id,
+      agent,
+      timeLeft: timeout,
+      method: kind === 'charges' ? 'POST' : 'GET',
+      ...(kind === 'charges' ? { body: 'amount=1' } : {}),
+      ...(kind === 'charges' ? {} : { key: names.key }),
+      ...(isStream ? { headers: { 'token-usage': '100 20', model: 'm' } } : {}),
+    });
+    this.#check(sending, result);
+  }
+
+  #check(request: Request, result: CallResult): void {
+    const { id, node, sent, kind } = request;
+    const took = performance.now() - sent;
+    const { status, isWhole, headers, body } = result;
+    const isDisturbed = node.disturbedUntil > sent || request.run !== node.router.run;
+    if (!isDisturbed && took > timeout + endWithin)
+      this.#violate(`${id} had no end at ${node.router.name} after ${Math.round(took)} ms`);
+    if ([408, 421, 429, 503].includes(status)) this.#refused.push(id);
+    if (status === 401 || status === 404)
+      this.#violate(`${id} got ${status} from ${node.router.name}, though it is allowed`);
+    if (status < 200 || status >= 300 || !isWhole) return;
+    this.#served += 1;
+    if (headers['request-id'] !== id || headers['response-seal'] === undefined)
+      this.#violate(`${id} got an answer without a server's seal or of another request`);
+    const isComplete =
+      kind === 'letters' ? eventsOf(body) === expectedEvents : body.endsWith(` ran ${id}`);
+    if (!isComplete) this.#violate(`${id} got half an answer that looks whole: ${body}`);
+  }
+
+  #startFault(): void {
+    const [part, begin] = this.#chooseFault();
+    const lasts = this.#between(lasting);
+    // Chosen before this check, so that the sequence follows from the seed alone.
+    if (this.#busy.has(part)) return;
+    this.#faults += 1;
+    const running = begin(lasts)
+      .catch((error: unknown) => {
+        this.#violate(`fault at ${part} failed: ${String(error)}`);
+      })
+      .finally(() => this.#busy.delete(part));
+    this.#busy.set(part, running);
+  }
+
+  #chooseFault(): readonly [string, (lasts: Milliseconds) => Promise<void>] {
+    const node = oneOf(this.#random, this.#nodes);
+    const backend = oneOf(
+      this.#random,
+      this.#backends.filter(({ leaving }) => leaving === undefined),
+    );
+    const again = this.#between(restart);
+    const count = 1 + Math.floor(this.#random() * 6);
+    const behaviour = oneOf(this.#random, behaviours);
+    const rule = oneOf(this.#random, ['cut', 'drop'] as const);
+    const mode = oneOf(this.#random, ['busy', 'silent', 'losesAnswers'] as const);
+    const { router } = node;
+    const server = backend.server.id;
+    return oneOf(this.#random, [
+      [router.name, (lasts) => this.#end(node, lasts, again, () => router.kill())],
+      [router.name, (lasts) => this.#end(node, lasts, again, () => router.stop())],
+      [router.name, (lasts) => this.#freeze(node, lasts)],
+      [
+        router.name,
+        () => {
+          this.#tell(`${router.name} is told to read its settings again`);
+          router.signal('SIGHUP');
+          return Promise.resolve();
+        },
+      ],
+      [router.name, (lasts) => this.#cutStore(node, rule, lasts)],
+      ['store', (lasts) => this.#disturbStore(mode, lasts)],
+      ['history', () => this.#forgetHistory()],
+      ['desired state', () => this.#changeState()],
+      [server, () => this.#spoil(backend, behaviour, count)],
+      [server, (lasts) => this.#cutServer(backend, rule, lasts)],
+      [server, () => this.#replace(backend)],
+    ] satisfies readonly (readonly [string, (lasts: Milliseconds) => Promise<void>])[]);
+  }
+
+  async #end(
+    node: Node,
+    lasts: Milliseconds,
+    again: Milliseconds,
+    end: () => Promise<unknown>,
+  ): Promise<void> {
+    this.#tell(`${node.router.name} ends, for ${Math.round(again)} ms`);
+    this.#disturb(node, grace + lasts + settled);
+    await end();
+    await pause(again);
+    node.router.start();
+    this.#disturb(node, settled);
+  }
+
+  async #freeze(node: Node, lasts: Milliseconds): Promise<void> {
+    this.#tell(`${node.router.name} is frozen for ${Math.round(lasts)} ms`);
+    this.#disturb(node, lasts + settled);
+    node.router.signal('SIGSTOP');
+    await pause(lasts);
+    node.router.signal('SIGCONT');
+  }
+
+  async #cutStore(node: Node, rule: 'cut' | 'drop', lasts: Milliseconds): Promise<void> {
+    this.#tell(`${node.router.name} loses the store (${rule}) for ${Math.round(lasts)} ms`);
+    this.#disturb(node, lasts + settled);
+    node.store.rule(rule);
+    await pause(lasts);
+    node.store.rule('pass');
+  }
+
+  async #disturbStore(mode: StackStore['mode'], lasts: Milliseconds): Promise<void> {
+    this.#tell(`the store is ${mode} for ${Math.round(lasts)} ms`);
+    this.#storeDisturbedUntil = performance.now() + lasts + settled;
+    this.store.mode = mode;
+    await pause(lasts);
+    this.store.mode = 'well';
+  }
+
+  #forgetHistory(): Promise<void> {
+    this.#tell('the store forgets its history');
+    this.store.compact();
+    return Promise.resolve();
+  }
+
+  /** Adds a route; a request on it tells where the new version is in force. */
+  async #changeState(): Promise<void> {
+    this.#version += 1;
+    const version = this.#version;
+    this.#tell(`desired state ${version}`);
+    const { routes, ...rest } = desiredStateOf(version) as { readonly routes: readonly object[] };
+    const added = { ...routes[1], name: `added-${version}`, prefix: `/added-${version}/` };
+    this.store.put('op', 'config', { ...rest, routes: [...routes, added] });
+    const since = performance.now();
+    this.#versions.set(version, since);
+    await pause(inForceWithin);
+    // Another change may have taken its place; routers that were disturbed have longer.
+    if (this.#version !== version || this.#storeDisturbedUntil > since) return;
+    const calm = this.#nodes.filter(
+      ({ router, disturbedUntil }) => router.isRunning && disturbedUntil < since,
+    );
+    for (const { router, disturbedUntil } of calm) {
+      const id = `probe-${version}-${router.name}`;
+      const path = `/added-${version}/${id}`;
+      const { status } = await call({
+        address: router.callers,
+        path,
+        host: names.host,
+        id,
+        key: names.key,
+      });
+      const isCalm = disturbedUntil < since && this.#version === version;
+      if (isCalm && status === 404)
+        this.#violate(`desired state ${version} is not in force at ${router.name}`);
+    }
+  }
+
+  #spoil({ server }: Backend, behaviour: Behaviour, count: number): Promise<void> {
+    this.#tell(`${server.id}: ${behaviour}, ${count} times`);
+    server.behaviours.push(...Array.from({ length: count }, () => behaviour));
+    return Promise.resolve();
+  }
+
+  async #cutServer({ relay, server }: Backend, rule: 'cut' | 'drop', lasts: number): Promise<void> {
+    this.#tell(`${server.id} is out of reach (${rule}) for ${Math.round(lasts)} ms`);
+    relay.rule(rule);
+    await pause(lasts);
+    relay.rule('pass');
+  }
+
+  /** Another server takes the place of one that leaves as planned. */
+  async #replace(backend: Backend): Promise<void> {
+    const { server, service, relay } = backend;
+    this.#tell(`${server.id} is replaced`);
+    await this.#addServer(service);
+    this.#register(backend, { state: 'draining', sequence: 2 });
+    backend.leaving = performance.now();
+    await pause(drainedWithin + timeout);
+    this.store.remove('servers', server.id);
+    relay.close();
+    await server.close();
+  }
+
+  /** With nothing else wrong every router is stopped once; no request may be lost by it. */
+  async #calmStops(): Promise<void> {
+    for (const { relay, server } of this.#backends) {
+      relay.rule('pass');
+      server.behaviours = [];
+    }
+    for (const { router } of this.#nodes) if (!router.isRunning) router.start();
+    await Promise.all(this.#nodes.map(({ router }) => router.ready()));
+    await pause(settled);
+    const random = randomFrom(this.options.seed);
+    for (const node of this.#nodes.slice(0, 3)) {
+      this.#disturb(node, grace + settled);
+      let isStopped = false;
+      const lost: string[] = [];
+      const send = async (index: number): Promise<void> => {
+        const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+        for (let sent = 0; !isStopped; sent += 1) {
+          const kind = oneOf(random, kinds);
+          const id = `calm-${kind}-${node.router.name}-${index}-${sent}`;
+          const result = await call({
+            address: node.router.callers,
+            path: `/${kind}/${id}`,
+            host: names.host,
+            id,
+            agent,
+            key: names.key,
+            ...(kind === 'letters' ? { headers: { 'token-usage': '100 20', model: 'm' } } : {}),
+          });
+          // A closed connection is a loss only if a server had got the request.
+          const hasRun = this.#backends.some(({ server }) => server.ran.includes(id));
+          if (hasRun && (result.status !== 200 || !result.isWhole)) lost.push(id);
+        }
+        agent.destroy();
+      };
+      const sending = Array.from({ length: 6 }, (_, index) => send(index));
+      await pause(300);
+      const code = await node.router.stop();
+      isStopped = true;
+      await Promise.all(sending);
+      if (code !== 0) this.#violate(`${node.router.name} ended with ${String(code)} after SIGTERM`);
+      if (lost.length > 0)
+        this.#violate(`a planned stop of ${node.router.name} cut ${lost.join()}`);
+      node.router.start();
+      await node.router.ready();
+    }
+  }
+
+  /** What the servers saw, against what callers were told. */
+  #checkRuns(): void {
+    const runs = new Map<string, number>();
+    for (const { server, leaving } of this.#backends) {
+      for (const id of server.ran) runs.set(id, (runs.get(id) ?? 0) + 1);
+      for (const { id, at, headers } of server.seen) {
+        const isLate = leaving !== undefined && at > leaving + drainedWithin;
+        if (isLate && this.#isCalm(leaving)) this.#violate(`${server.id} got ${id} while leaving`);
+        if (headers.authorization !== undefined) this.#violate(`${server.id} got the key of ${id}`);
+        const expected = id.includes('charges') ? undefined : names.team;
+        if (headers.tenant !== expected && !id.startsWith('calm-charges'))
+          this.#violate(`${id} ran for team ${String(headers.tenant)}`);
+      }
+    }
+    for (const [id, count] of runs)
+      if (count > 1 && id.startsWith('charges')) this.#violate(`${id} ran ${count} times`);
+    for (const id of this.#refused)
+      if (runs.has(id)) this.#violate(`${id} ran, though its caller was told that it had not`);
+  }
+
+  /** Whether no router and not the store was disturbed around `time`. */
+  #isCalm(time: number): boolean {
+    const last = Math.max(
+      this.#storeDisturbedUntil,
+      ...this.#nodes.map(({ disturbedUntil }) => disturbedUntil),
+    );
+    return last < time;
+  }
+
+  #disturb(node: Node, lasts: Milliseconds): void {
+    node.disturbedUntil = Math.max(node.disturbedUntil, performance.now() + lasts);
+  }
+
+  #tell(line: string): void {
+    this.options.tell(`${Math.round(performance.now())} ${line}`);
+  }
+
+  #violate(what: string): void {
+    this.#violations.add(what);
+    this.#tell(`VIOLATION ${what}`);
+  }
+
+  #between({ least, most }: { readonly least: number; readonly most: number }): Milliseconds {
+    return least + this.#random() * (most - least);
+  }
+
+  async #close(): Promise<void> {
+    await Promise.all(this.#nodes.map(({ router }) => router.kill()));
+    for (const { store } of this.#nodes) store.close();
+    for (const { relay, server } of this.#backends) {
+      relay.close();
+      await server.close();
+    }
+    await this.store.close();
+  }
+}
+
+const expectedEvents = Array.from({ length: streamLength }, (_, index) => index + 1).join();
+
+/** The ids of a stream's events, in their order. */
+function eventsOf(body: string): string {
+  return [...body.matchAll(/^id: (\d+)$/gm)].map(([, id]) => id).join();
+}
