Send callers to the largest VMs while those have room

Change: the directory names the largest VMs whose cores together are 2.5 times what is in use, at least 4; cold servers are shared among them; a region's callers get its routers; idle routers of a large fleet tell less often, and the largest of a data centre represents it. Result: tests of four fleets.

--- a/packages/coordination/src/routing/coldStart.ts
+++ b/packages/coordination/src/routing/coldStart.ts
@@ -29,7 +29,7 @@
     private readonly routers: () => readonly string[],
   ) {}
 
-  /** `routers` are the names of all routers that may be running, this one included. */
+  /** `routers` are the names of the routers that share the rate; one that is not among them gets nothing. */
   static create(
     clock: Clock,
     bound: ColdBound,
--- a/packages/coordination/src/routing/dispatcher.test.ts
+++ b/packages/coordination/src/routing/dispatcher.test.ts
@@ -18,6 +18,7 @@
     cold: { factor: 1.5, slack: 5 },
     repeats: { ratio: 0.2, slack: 54, window: 10_000 },
     routers: () => routers,
+    entrances: () => routers,
   });
   made.apply(RouteTable.create(desiredState));
   return made;
--- a/packages/coordination/src/routing/dispatcher.ts
+++ b/packages/coordination/src/routing/dispatcher.ts
@@ -71,6 +71,8 @@
   readonly repeats: RepeatBound;
   /** Names of all routers that may be running. */
   readonly routers: () => readonly string[];
+  /** Names of the routers to which callers are sent, on which all agree. */
+  readonly entrances: () => readonly string[];
   /** Called when an answer, or the lack of one, changes the belief about a server. */
   readonly onServer?: (server: string, change: Change, failureRate: number) => void;
 }
@@ -98,12 +100,12 @@
   #evacuated: ReadonlySet<string> = new Set();
 
   private constructor(private readonly options: DispatcherOptions) {
-    const { clock, self, routers } = options;
+    const { clock, self, routers, entrances } = options;
     this.servers = ServerTable.create(clock);
     this.standings = Standings.create(clock);
     this.repeats = RepeatBudget.create(clock, options.repeats, () => routers().length);
     this.#reports = Reports.create(clock);
-    this.#cold = ColdStart.create(clock, options.cold, self, routers);
+    this.#cold = ColdStart.create(clock, options.cold, self, entrances);
     this.#teams = TeamShares.create(clock);
     this.#admission = Admission.create(clock, { view: () => this.#view() });
   }
--- /dev/null
+++ b/packages/coordination/src/routing/entrances.test.ts
@@ -0,0 +1,37 @@
+// Load pattern: VMs of very different sizes.
+
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { entrancesOf, type Entrance } from './entrances.js';
+
+function routers(count: number, capacity: number, used: number): readonly Entrance[] {
+  return Array.from({ length: count }, (_, index) => ({
+    name: `${capacity}-${index}`,
+    capacity,
+    used,
+  }));
+}
+
+test('callers are sent to the large VMs of a mixed fleet while those have room', () => {
+  const large = routers(6, 1.35, 0.3);
+  const fleet = [...routers(55, 0.324, 0.01), ...large];
+  assert.deepEqual(entrancesOf(fleet), large);
+});
+
+test('smaller VMs are added when the large ones have no room', () => {
+  const fleet = [...routers(55, 0.324, 0.01), ...routers(6, 1.35, 0.9)];
+  assert.equal(entrancesOf(fleet).length, 61);
+});
+
+test('callers are sent to all VMs of a fleet of small ones', () => {
+  for (const count of [1, 7, 8]) {
+    const fleet = routers(count, 0.675, 0);
+    assert.equal(entrancesOf(fleet).length, count);
+  }
+});
+
+test('smaller VMs take over when most large ones are gone', () => {
+  const fleet = [...routers(55, 0.324, 0), ...routers(2, 1.35, 0)];
+  assert.equal(entrancesOf(fleet).length, 57);
+  assert.equal(entrancesOf(routers(55, 0.324, 0)).length, 55);
+});
--- /dev/null
+++ b/packages/coordination/src/routing/entrances.ts
@@ -0,0 +1,36 @@
+// Load pattern: VMs of very different sizes, and a team whose callers keep to one router. A small VM is
+// saturated by a few hundred requests a second: its event loop falls seconds behind, requests are sent on
+// after their callers have left, and what it tells others is old. Callers are sent to the largest VMs, and to
+// smaller ones only as far as they are needed.
+
+/** A router to which callers may be sent. */
+export interface Entrance {
+  readonly name: string;
+  /** Speed of its VM, in cores. */
+  readonly capacity: number;
+  /** Cores that it uses of that. */
+  readonly used: number;
+}
+
+/** Cores that are offered to callers at least; six of the smallest VMs of the published small deployments. */
+const leastCapacity = 4;
+/** Cores that are offered for each core in use, so that bursts and the loss of a third of them find room. */
+const headroom = 2.5;
+
+/**
+ * The routers to which callers are sent. Routers of one size are all taken or left, so that all that know the
+ * same sizes agree.
+ */
+export function entrancesOf<Each extends Entrance>(routers: readonly Each[]): readonly Each[] {
+  const used = routers.reduce((sum, router) => sum + router.used, 0);
+  const wanted = Math.max(leastCapacity, headroom * used);
+  const bySize = [...routers].sort((a, b) => b.capacity - a.capacity);
+  let offered = 0;
+  let smallest = 0;
+  for (const { capacity } of bySize) {
+    if (offered >= wanted) break;
+    offered += capacity;
+    smallest = capacity;
+  }
+  return bySize.filter(({ capacity }) => capacity >= smallest);
+}
--- a/packages/coordination/src/routing/groups.test.ts
+++ b/packages/coordination/src/routing/groups.test.ts
@@ -22,7 +22,7 @@
     clock: Clock,
     readonly self: Member,
   ) {
-    this.members = Members.create(clock, self.name);
+    this.members = Members.create(clock, self.name, 1);
     this.reports = Reports.create(clock);
     this.neighbours = neighboursOf(self, [], 1);
   }
@@ -43,7 +43,8 @@
     for (let dataCentre = 0; dataCentre < dataCentres; dataCentre += 1)
       for (let index = 0; index < each; index += 1) {
         const name = `r-${dataCentre}-${index + 10}`;
-        const place = { dataCentre: `dc-${dataCentre}`, isLeaving: false, storeAge: 0 };
+        const size = { capacity: 1, used: 0 };
+        const place = { dataCentre: `dc-${dataCentre}`, isLeaving: false, storeAge: 0, ...size };
         this.nodes.set(name, new Node(this.clock, { name, ip: name, ...place }));
       }
     // All have read one another's registrations and said so once.
@@ -138,7 +139,8 @@
 
 test('in a small fleet each router tells each', () => {
   const member = (name: string): Member => {
-    return { name, ip: name, dataCentre: name, isLeaving: false, storeAge: 0 };
+    const size = { capacity: 1, used: 0 };
+    return { name, ip: name, dataCentre: name, isLeaving: false, storeAge: 0, ...size };
   };
   const others = ['b', 'c', 'd'].map(member);
   const { mates, isGrouped } = neighboursOf(member('a'), others, 8);
--- a/packages/coordination/src/routing/groups.ts
+++ b/packages/coordination/src/routing/groups.ts
@@ -35,11 +35,11 @@
 }
 
 /**
- * The neighbours of router `self` among `alive`, in a fleet of `size` that may be running. The first by name
+ * The neighbours of router `self` among `alive`, in a fleet of `size` that may be running. The largest
  * of a data centre that is not about to leave represents it.
  */
 export function neighboursOf(
-  self: Pick<Member, 'name' | 'dataCentre' | 'isLeaving'>,
+  self: Pick<Member, 'name' | 'dataCentre' | 'isLeaving' | 'capacity'>,
   alive: readonly Member[],
   size: number,
 ): Neighbours {
@@ -50,16 +50,23 @@
   for (const member of alive) {
     if (member.isLeaving) continue;
     const known = first.get(member.dataCentre);
-    if (known === undefined || member.name < known.name) first.set(member.dataCentre, member);
+    if (known === undefined || goesBefore(member, known)) first.set(member.dataCentre, member);
   }
   const own = first.get(self.dataCentre);
-  const represents = !self.isLeaving && (own === undefined || self.name < own.name);
+  const represents = !self.isLeaving && (own === undefined || goesBefore(self, own));
   const others = [...first.values()].filter(({ dataCentre }) => dataCentre !== self.dataCentre);
   return represents
     ? { mates, isGrouped: true, representatives: others, silentInterval: representativeInterval }
     : { mates, isGrouped: true, representatives: undefined, silentInterval };
 }
 
+function goesBefore(
+  a: Pick<Member, 'name' | 'capacity'>,
+  b: Pick<Member, 'name' | 'capacity'>,
+): boolean {
+  return a.capacity === b.capacity ? a.name < b.name : a.capacity > b.capacity;
+}
+
 /** Whether a router with these neighbours tries to reach a silent one; `isOwnGroup` if it may be a mate. */
 export function isCalled({ isGrouped, representatives }: Neighbours, isOwnGroup: boolean): boolean {
   return !isGrouped || representatives !== undefined || isOwnGroup;
--- a/packages/coordination/src/routing/index.ts
+++ b/packages/coordination/src/routing/index.ts
@@ -4,6 +4,7 @@
 export * from './coldStart.js';
 export * from './dispatcher.js';
 export * from './engine.js';
+export * from './entrances.js';
 export * from './groups.js';
 export * from './homes.js';
 export * from './loads.js';
--- a/packages/coordination/src/routing/members.test.ts
+++ b/packages/coordination/src/routing/members.test.ts
@@ -6,6 +6,7 @@
 import { Members } from './members.js';
 
 const limit = 1_600;
+const place = { dataCentre: 'suva', isLeaving: false, capacity: 1, used: 0 };
 const names = Array.from({ length: 8 }, (_, index) => `router-${index}`);
 
 interface Fleet {
@@ -17,7 +18,7 @@
 
 function fleet(): Fleet {
   const clock = Clock.manual(10_000);
-  const members = new Map(names.map((name) => [name, Members.create(clock, name)]));
+  const members = new Map(names.map((name) => [name, Members.create(clock, name, 1)]));
   return { clock, members, contact: new Map() };
 }
 
@@ -30,7 +31,7 @@
       for (const other of names) {
         if (other === name) continue;
         const storeAge = clock.now() - (contact.get(other) ?? -Infinity);
-        own.hear({ name: other, ip: other, dataCentre: 'suva', isLeaving: false, storeAge });
+        own.hear({ ...place, name: other, ip: other, storeAge });
       }
     }
     const reading = names.filter((name) => members.get(name)?.isReader(limit) === true);
@@ -63,8 +64,8 @@
 
 test('a router that is silent is not named to callers but counts for shares of budgets', async () => {
   const clock = Clock.manual(10_000);
-  const members = Members.create(clock, 'own');
-  const other = { name: 'b', ip: '10.0.0.2', dataCentre: 'suva', isLeaving: false, storeAge: 0 };
+  const members = Members.create(clock, 'own', 1);
+  const other = { ...place, name: 'b', ip: '10.0.0.2', storeAge: 0 };
   assert.ok(members.hear(other));
   assert.ok(!members.hear(other));
   await clock.advance(1_600);
--- a/packages/coordination/src/routing/members.ts
+++ b/packages/coordination/src/routing/members.ts
@@ -2,6 +2,7 @@
 
 import type { Clock, Milliseconds } from '@catkinwheel/state';
 import { ranking } from '../rendezvous.js';
+import { entrancesOf } from './entrances.js';
 
 /** A router as it tells of itself. */
 export interface Member {
@@ -9,6 +10,10 @@
   readonly ip: string;
   readonly dataCentre: string;
   readonly isLeaving: boolean;
+  /** Speed of its VM, in cores. */
+  readonly capacity: number;
+  /** Cores that it uses of that. */
+  readonly used: number;
   /** Time since it last heard from the store itself, when it said so; infinite if its calls fail. */
   readonly storeAge: Milliseconds;
 }
@@ -20,6 +25,13 @@
 /** Routers that read the store for all. Three survive the loss of a VM and of a data centre. */
 const readerCount = 3;
 
+/** What is known of a router before it was heard. */
+export interface Registered {
+  readonly ip: string;
+  /** Speed of its VM, in cores. */
+  readonly capacity: number;
+}
+
 /** A router that was not heard lately. */
 export interface Silent {
   readonly name: string;
@@ -35,16 +47,18 @@
 /** Routers by name, the own one not included. */
 export class Members {
   readonly #seen = new Map<string, Seen>();
-  /** Addresses of routers that were registered but not heard yet, by name. */
-  readonly #registered = new Map<string, string>();
+  /** Routers that may be running, by name. */
+  readonly #registered = new Map<string, Registered>();
 
   private constructor(
     private readonly clock: Clock,
     private readonly self: string,
+    private readonly capacity: number,
   ) {}
 
-  static create(clock: Clock, self: string): Members {
-    return new Members(clock, self);
+  /** `capacity` is the speed of the own VM, in cores. */
+  static create(clock: Clock, self: string, capacity: number): Members {
+    return new Members(clock, self, capacity);
   }
 
   /**
@@ -58,7 +72,8 @@
     const known = this.#seen.get(member.name);
     if (known !== undefined && known.heard >= heard) return false;
     this.#seen.set(member.name, { member, heard });
-    this.#registered.set(member.name, member.ip);
+    const { name, ip, capacity } = member;
+    this.#registered.set(name, { ip, capacity });
     return known === undefined || now - known.heard > silenceLimit;
   }
 
@@ -68,8 +83,8 @@
   }
 
   /** A registration in the store, or another router, tells of a router. */
-  register(name: string, ip: string): void {
-    if (name !== this.self && !this.#seen.has(name)) this.#registered.set(name, ip);
+  register(name: string, router: Registered): void {
+    if (name !== this.self && !this.#seen.has(name)) this.#registered.set(name, router);
   }
 
   /** A registration was removed. */
@@ -90,7 +105,7 @@
   silent(): readonly Silent[] {
     const oldest = this.clock.now() - silenceLimit;
     const silent: Silent[] = [];
-    for (const [name, ip] of this.#registered) {
+    for (const [name, { ip }] of this.#registered) {
       const seen = this.#seen.get(name);
       if (seen === undefined) silent.push({ name, ip, dataCentre: undefined });
       else if (seen.heard < oldest) silent.push({ name, ip, dataCentre: seen.member.dataCentre });
@@ -98,8 +113,8 @@
     return silent;
   }
 
-  /** IP addresses by name of all routers that may be running. */
-  addresses(): ReadonlyMap<string, string> {
+  /** Routers that may be running, the own one not included. */
+  registered(): ReadonlyMap<string, Registered> {
     return this.#registered;
   }
 
@@ -112,6 +127,15 @@
     return [this.self, ...this.#registered.keys()];
   }
 
+  /** Names of the routers to which callers are sent while they have room, whether they are heard or not. */
+  entrances(): readonly string[] {
+    const all = this.names().map((name) => {
+      const capacity = this.#registered.get(name)?.capacity ?? this.capacity;
+      return { name, capacity, used: 0 };
+    });
+    return entrancesOf(all).map(({ name }) => name);
+  }
+
   /**
    * Whether this router reads the store for all: fewer than three of the routers ranked before it have heard
    * from the store within `limit`. When readers fail, those ranked next begin, and stop when they are back.
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,7 +1,12 @@
 // One router on the platform: makes its parts, runs its tasks, and stops without cutting a request.
 
 import { randomUUID } from 'node:crypto';
-import { Dispatcher, Members, type DispatcherOptions } from '@catkinwheel/coordination/routing';
+import {
+  Dispatcher,
+  Members,
+  entrancesOf,
+  type DispatcherOptions,
+} from '@catkinwheel/coordination/routing';
 import { Store, directorySize, encodeDirectory, paths, type Settings } from '@catkinwheel/platform';
 import { Clock, type Milliseconds } from '@catkinwheel/state';
 import { createAdaptorServer, type ServerType } from '@hono/node-server';
@@ -16,9 +21,10 @@
 import { Registration } from './registration.js';
 import { ServerConnections } from './serverConnections.js';
 import { StoreReader } from './storeReader.js';
+import { Usage } from './usage.js';
 
 /** How often servers and reports are looked through for what has become too old. */
-const tickInterval: Milliseconds = 50;
+const tickInterval: Milliseconds = 100;
 /** The same while requests wait, since room that becomes free is found by looking. */
 const waitingInterval: Milliseconds = 10;
 /** How long callers keep an answer of the directory; short, since routers stop and start. */
@@ -49,14 +55,15 @@
   readonly #reader: StoreReader;
   readonly #registration: Registration;
   readonly #servers: ServerType[] = [];
+  readonly #usage: Usage;
   #stopping: Milliseconds | undefined;
 
   private constructor(private readonly settings: Settings) {
     const clock = this.#clock;
-    const { router, ip, dataCentre } = settings;
+    const { router, ip, dataCentre, capacity } = settings;
     const log = Log.create(clock, router, this.#boot);
     const metrics = this.#metrics;
-    const members = Members.create(clock, router);
+    const members = Members.create(clock, router, capacity);
     const dispatcher = Dispatcher.create({
       ...dispatcherOptions(settings, clock, members),
       onServer: (server, change, failureRate) => {
@@ -66,17 +73,36 @@
     const knowledge = Knowledge.create(clock, dispatcher, log);
     const store = Store.create(settings.store);
     this.#log = log;
+    this.#usage = Usage.create(clock, capacity);
     this.#members = members;
     this.#dispatcher = dispatcher;
     this.#knowledge = knowledge;
     this.#reader = StoreReader.create({ clock, store, knowledge, members, log, metrics });
-    this.#registration = Registration.create({ clock, store, members, log, name: router, ip });
-    this.#peerState = PeerState.create({ clock, dispatcher, knowledge, members, log, router, ip });
+    this.#registration = Registration.create({
+      clock,
+      store,
+      members,
+      log,
+      name: router,
+      ip,
+      capacity,
+    });
+    this.#peerState = PeerState.create({
+      clock,
+      dispatcher,
+      knowledge,
+      members,
+      log,
+      router,
+      ip,
+      capacity,
+    });
     this.#gossip = Gossip.create({
       clock,
       router,
       dataCentre,
       ip,
+      capacity,
       port: settings.linkPort,
       members,
       dispatcher,
@@ -84,6 +110,7 @@
       log,
       isLeaving: () => this.#stopping !== undefined,
       storeAge: () => this.#reader.age(),
+      used: () => this.#usage.cores(),
       onBehind: (peer) => {
         void this.#peerState.fetch(this.#peerAddress(peer));
       },
@@ -190,9 +217,13 @@
     );
     const directory = new Hono();
     directory.get(paths.directory, (context) =>
-      context.body(encodeDirectory(this.#addresses(), directoryTtl), 200, {
-        'content-type': 'application/json',
-      }),
+      context.body(
+        encodeDirectory(this.#addresses(context.req.query('region')), directoryTtl),
+        200,
+        {
+          'content-type': 'application/json',
+        },
+      ),
     );
     const metrics = new Hono();
     metrics.get('/metrics', async (context) => {
@@ -211,16 +242,16 @@
     return listeners;
   }
 
-  /** Addresses for callers of all routers that take requests. */
-  #addresses(): readonly string[] {
-    const [, port] = hostAndPort(this.settings.listen.callers);
-    const others = this.#members
-      .alive()
-      .filter(({ isLeaving }) => !isLeaving)
-      .map(({ ip }) => `${ip}:${port}`);
-    const own = this.#stopping === undefined ? [this.settings.listen.callers] : [];
-    const all = [...own, ...others];
-    return all.length > 0 ? all.slice(0, directorySize) : [this.settings.listen.callers];
+  /** Addresses of the routers to which a caller of the region is sent; those of the region if there are any. */
+  #addresses(region: string | undefined): readonly string[] {
+    const { router, ip, dataCentre, capacity, regionOf, listen: own } = this.settings;
+    const [, port] = hostAndPort(own.callers);
+    const self = { name: router, ip, dataCentre, capacity, used: this.#usage.cores() };
+    const others = this.#members.alive().filter(({ isLeaving }) => !isLeaving);
+    const all = this.#stopping === undefined ? [self, ...others] : others;
+    const near = all.filter((member) => regionOf[member.dataCentre] === region);
+    const chosen = entrancesOf(near.length > 0 ? near : all).slice(0, directorySize);
+    return chosen.length > 0 ? chosen.map((member) => `${member.ip}:${port}`) : [own.callers];
   }
 
   #isReady(): boolean {
@@ -273,6 +304,7 @@
       window: bounds.repeatWindow,
     },
     routers: () => members.names(),
+    entrances: () => members.entrances(),
   };
 }
 
--- a/packages/gateway/src/gossip.ts
+++ b/packages/gateway/src/gossip.ts
@@ -21,20 +21,28 @@
 
 /** Time between two datagrams to a router in a small fleet. */
 const shortestInterval: Milliseconds = 100;
+/** The same for a router of a large fleet that has no request; a third of the time after which it counts as silent. */
+const idleInterval: Milliseconds = 500;
 /** Datagrams that a router sends a second at most, all receivers together. */
 const sendRate = 120;
 
 /** Server, unread tokens, requests, tokens of memory. */
 const loadCodec = tuple([string, number, number, number]);
 
-/** Name, IP address, whether it is leaving, age of its contact with the store, time since it was heard. */
-const memberCodec = tuple([string, string, boolean, nullable(number), number]);
+/**
+ * Name, IP address, whether it is leaving, age of its contact with the store, time since it was heard, capacity
+ * and use of its VM.
+ */
+const memberCodec = tuple([string, string, boolean, nullable(number), number, number, number]);
 
 const messageCodec = Codec.interface({
   router: string,
   ip: string,
   dataCentre: string,
   isLeaving: boolean,
+  /** Cores of the VM, and those that the router uses. */
+  capacity: number,
+  used: number,
   /** Null in what a router tells of itself; the routers of a data centre in what is told of it. */
   members: nullable(array(memberCodec)),
   /** Null while the sender's own calls of the store fail. */
@@ -56,6 +64,7 @@
   /** Infinitely long ago if all are to be told that this router runs. */
   #lastToSilent: Milliseconds = -Infinity;
   #neighbours: Neighbours;
+  #isIdle = true;
 
   private constructor(
     private readonly options: {
@@ -63,6 +72,7 @@
       readonly router: string;
       readonly dataCentre: string;
       readonly ip: string;
+      readonly capacity: number;
       readonly port: number;
       readonly members: Members;
       readonly dispatcher: Dispatcher;
@@ -70,6 +80,8 @@
       readonly log: Log;
       readonly isLeaving: () => boolean;
       readonly storeAge: () => Milliseconds;
+      /** Cores in use. */
+      readonly used: () => number;
       /** The router at `ip` knows newer versions than this one. */
       readonly onBehind: (ip: string) => void;
     },
@@ -104,8 +116,11 @@
     const { clock } = this.options;
     while (!signal.aborted) {
       this.send();
-      const count = this.#neighbours.mates.length;
-      const interval = Math.max(shortestInterval, (1_000 * count) / sendRate);
+      const { mates, isGrouped, representatives } = this.#neighbours;
+      const busy = Math.max(shortestInterval, (1_000 * mates.length) / sendRate);
+      // In a large fleet most routers have nothing to tell at a time.
+      const isIdle = isGrouped && representatives === undefined && this.#isIdle;
+      const interval = isIdle ? idleInterval : busy;
       await clock.sleep(interval, signal);
     }
     this.#socket.close();
@@ -122,7 +137,9 @@
     const { clock, members, dispatcher, dataCentre } = this.options;
     this.#neighbours = this.#findNeighbours();
     const { mates, isGrouped, representatives } = this.#neighbours;
-    const own = encode(this.#message(dispatcher.report(), null));
+    const report = dispatcher.report();
+    this.#isIdle = report.loads.size === 0 && report.waiting.size === 0;
+    const own = encode(this.#message(report, null));
     for (const { ip } of mates) this.#sendTo(ip, own);
     if (isGrouped && representatives !== undefined) {
       const sum = encode(this.#message(dispatcher.summary(), this.#group(mates)));
@@ -145,29 +162,34 @@
   }
 
   #findNeighbours(): Neighbours {
-    const { members, router, dataCentre, isLeaving } = this.options;
-    const self = { name: router, dataCentre, isLeaving: isLeaving() };
+    const { members, router, dataCentre, isLeaving, capacity } = this.options;
+    const self = { name: router, dataCentre, isLeaving: isLeaving(), capacity };
     return neighboursOf(self, members.alive(), members.names().length);
   }
 
   /** What is told of the routers of this data centre, the own one left out. */
   #group(mates: readonly Member[]): Message['members'] {
-    return mates.map(({ name, ip, isLeaving, storeAge }) => [
+    return mates.map(({ name, ip, isLeaving, storeAge, capacity, used }) => [
       name,
       ip,
       isLeaving,
       encodeAge(storeAge),
       Math.round(this.options.members.silence(name)),
+      capacity,
+      used,
     ]);
   }
 
   #message(report: Report, group: Message['members']): Message {
-    const { router, ip, dataCentre, knowledge, isLeaving, storeAge } = this.options;
+    const { router, ip, dataCentre, capacity, used } = this.options;
+    const { knowledge, isLeaving, storeAge } = this.options;
     return {
       router,
       ip,
       dataCentre,
       isLeaving: isLeaving(),
+      capacity,
+      used: Number(used().toFixed(3)),
       members: group,
       storeAge: encodeAge(storeAge()),
       operators: knowledge.version('operators'),
@@ -203,9 +225,9 @@
     const { dispatcher, knowledge, onBehind, dataCentre } = this.options;
     const { router: name, members: group, ip } = message;
     this.#meet({ ...message, name, storeAge: message.storeAge ?? Infinity }, 0);
-    for (const [mate, mateIp, isLeaving, storeAge, age] of group ?? []) {
+    for (const [mate, mateIp, isLeaving, storeAge, age, capacity, used] of group ?? []) {
       const member = { name: mate, ip: mateIp, dataCentre: message.dataCentre, isLeaving };
-      this.#meet({ ...member, storeAge: storeAge ?? Infinity }, age);
+      this.#meet({ ...member, capacity, used, storeAge: storeAge ?? Infinity }, age);
     }
     const reporter: Reporter =
       group === null ? { kind: 'router', name } : { kind: 'dataCentre', name: message.dataCentre };
--- a/packages/gateway/src/peerState.ts
+++ b/packages/gateway/src/peerState.ts
@@ -23,8 +23,8 @@
 const stateCodec = Codec.interface({
   operators: changesCodec,
   servers: changesCodec,
-  /** Names and IP addresses. */
-  routers: array(tuple([string, string])),
+  /** Names, IP addresses and cores. */
+  routers: array(tuple([string, string, number])),
   /** Servers, prompt parts and their tokens; empty unless asked for. */
   parts: array(tuple([string, string, number])),
 });
@@ -46,6 +46,7 @@
       readonly log: Log;
       readonly router: string;
       readonly ip: string;
+      readonly capacity: number;
     },
   ) {}
 
@@ -60,13 +61,16 @@
 
   /** Serves what this router knows. */
   serve(app: Hono): void {
-    const { dispatcher, knowledge, members, router, ip } = this.options;
+    const { dispatcher, knowledge, members, router, ip, capacity } = this.options;
     app.get(path, (context) => {
       const version = (table: string): number => Number(context.req.query(table) ?? 0);
       return context.json({
         operators: knowledge.since('operators', version('operators')),
         servers: knowledge.since('servers', version('servers')),
-        routers: [[router, ip], ...members.addresses()],
+        routers: [
+          [router, ip, capacity],
+          ...[...members.registered()].map(([name, known]) => [name, known.ip, known.capacity]),
+        ],
         parts:
           context.req.query('parts') === undefined
             ? []
@@ -108,7 +112,7 @@
 
   #take(state: GetType<typeof stateCodec>): void {
     const { dispatcher, knowledge, members } = this.options;
-    for (const [name, ip] of state.routers) members.register(name, ip);
+    for (const [name, ip, capacity] of state.routers) members.register(name, { ip, capacity });
     for (const table of tableNames) {
       const { version, rows } = state[table];
       const changes: Changes = {
--- a/packages/gateway/src/registration.ts
+++ b/packages/gateway/src/registration.ts
@@ -4,9 +4,11 @@
 import type { Members } from '@catkinwheel/coordination/routing';
 import type { Store } from '@catkinwheel/platform';
 import type { Clock, Milliseconds } from '@catkinwheel/state';
+import { Codec, number, string } from 'purify-ts';
 import type { Log } from './log.js';
 
 const table = 'routers';
+const registrationCodec = Codec.interface({ ip: string, capacity: number });
 const callTime: Milliseconds = 1_000;
 /** Pause between tries while the store does not answer. */
 const retryPause: Milliseconds = 500;
@@ -21,6 +23,8 @@
       readonly log: Log;
       readonly name: string;
       readonly ip: string;
+      /** Speed of the VM, in cores. */
+      readonly capacity: number;
     },
   ) {}
 
@@ -33,15 +37,16 @@
    * later one reads the earlier one and makes itself known to it.
    */
   async run(signal: AbortSignal): Promise<void> {
-    const { clock, store, members, log, name, ip } = this.options;
+    const { clock, store, log, name, ip, capacity } = this.options;
+    const value = JSON.stringify({ ip, capacity });
     let isWritten = false;
     while (!signal.aborted) {
-      if (!isWritten) isWritten = (await store.write(table, name, ip, callTime)).isOk();
+      if (!isWritten) isWritten = (await store.write(table, name, value, callTime)).isOk();
       if (isWritten) {
         const reading = await store.table(table, callTime);
         if (reading.isOk()) {
           for (const { key, value } of reading.value.rows)
-            if (value !== undefined) members.register(key, value);
+            if (value !== undefined) this.#take(key, value);
           log.write('registered', { routers: reading.value.rows.length });
           return;
         }
@@ -50,6 +55,18 @@
     }
   }
 
+  #take(name: string, value: string): void {
+    const { members, log } = this.options;
+    registrationCodec.decode(parse(value)).caseOf({
+      Left: (detail) => {
+        log.write('registration refused', { peer: name, detail });
+      },
+      Right: (router) => {
+        members.register(name, router);
+      },
+    });
+  }
+
   /** Removes the registration; best effort, since silent routers are forgotten anyway. */
   async remove(): Promise<void> {
     const { store, log, name } = this.options;
@@ -57,3 +74,12 @@
     if (removed.isErr()) log.write('registration not removed', { failure: removed.error });
   }
 }
+
+/** Undefined if the text is not JSON, which the codec refuses. */
+function parse(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
--- a/packages/standins/src/stack/fleet.ts
+++ b/packages/standins/src/stack/fleet.ts
@@ -101,6 +101,7 @@
       dataCentre: 'suva',
       region: 'viti-levu',
       regionOf: { suva: 'viti-levu' },
+      capacity: 1,
       listen: { callers: at(1), ready: at(2), peers: at(3), directory: at(4) },
       linkPort: ports[0] ?? 0,
       seeds: first?.settings.listen.peers === undefined ? [] : [first.settings.listen.peers],
