Refuse new requests at a router that is more than 0.4 s behind

Change: the lateness of the router's own periodic work tells how far it is behind; above 0.4 s a new request is refused with 'not run' and Retry-After 1 s, before it is routed.

--- a/packages/catkinwheel/src/story.ts
+++ b/packages/catkinwheel/src/story.ts
@@ -187,6 +187,11 @@
         cause: 'The router had just started and knew no desired state yet.',
         next: "See 'starting', 'store is lost' and 'desired state in force' of this router.",
       };
+    case 'behind':
+      return {
+        cause: 'The router had not caught up with the requests before it.',
+        next: 'See how many requests it gets (catkinwheel logs) and the processor that its VM has.',
+      };
     case 'stopping':
       return {
         cause: 'The router was stopping and took no new requests.',
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -15,6 +15,7 @@
 import { Ingress } from './ingress.js';
 import { Knowledge } from './knowledge.js';
 import { KeptPartsReader } from './keptPartsReader.js';
+import { Lag } from './lag.js';
 import { Log } from './log.js';
 import { Metrics } from './metrics.js';
 import { PeerState } from './peerState.js';
@@ -56,6 +57,7 @@
   readonly #registration: Registration;
   readonly #servers: ServerType[] = [];
   readonly #usage: Usage;
+  readonly #lag: Lag;
   #stopping: Milliseconds | undefined;
 
   private constructor(private readonly settings: Settings) {
@@ -74,6 +76,7 @@
     const store = Store.create(settings.store);
     this.#log = log;
     this.#usage = Usage.create(clock, capacity);
+    this.#lag = Lag.create(clock);
     this.#members = members;
     this.#dispatcher = dispatcher;
     this.#knowledge = knowledge;
@@ -123,6 +126,7 @@
         log,
         metrics,
         isClosing: () => this.#isClosing(),
+        isBehind: () => this.#lag.isBehind,
         random: Math.random,
       },
       () => this.#stopping !== undefined,
@@ -285,7 +289,7 @@
     while (!signal.aborted) {
       this.#dispatcher.tick();
       const isWaiting = this.#dispatcher.waiting > 0;
-      await this.#clock.sleep(isWaiting ? waitingInterval : tickInterval, signal);
+      await this.#lag.sleep(isWaiting ? waitingInterval : tickInterval, signal);
     }
   }
 }
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -37,6 +37,9 @@
 /** A caller that is refused while routers start or stop finds another one at once. */
 const otherRouterRetry: Milliseconds = 300;
 
+/** A router that is behind has read what waits within about this time if nothing more comes. */
+const behindRetry: Milliseconds = 1_000;
+
 /** Statuses of this router's own answers. Only `refused` promises that the request has not run. */
 const statuses = {
   unknownKey: 401,
@@ -56,6 +59,8 @@
   readonly metrics: Metrics;
   /** Whether new requests are refused because this router is about to stop. */
   readonly isClosing: () => boolean;
+  /** Whether new requests are refused because this router has not caught up with those that came before. */
+  readonly isBehind: () => boolean;
   readonly random: () => number;
 }
 
@@ -112,7 +117,7 @@
   }
 
   async #serve(): Promise<void> {
-    const { dispatcher, isClosing } = this.parts;
+    const { dispatcher, isClosing, isBehind } = this.parts;
     const { table } = dispatcher;
     const body = await readBody(this.request, table?.state.limits.body ?? Infinity);
     if (body === 'gone') return;
@@ -124,6 +129,10 @@
       this.#refuse(table === undefined ? 'noDesiredState' : 'stopping', otherRouterRetry);
       return;
     }
+    if (isBehind()) {
+      this.#refuse('behind', behindRetry);
+      return;
+    }
     const path = this.request.url ?? '/';
     const route = table.route(hostOf(this.request), path);
     if (route === undefined) {
