--- a/packages/coordination/src/routing/groups.test.ts
+++ b/packages/coordination/src/routing/groups.test.ts
@@ -43,7 +43,7 @@
     for (let dataCentre = 0; dataCentre < dataCentres; dataCentre += 1)
       for (let index = 0; index < each; index += 1) {
         const name = `r-${dataCentre}-${index + 10}`;
-        const size = { capacity: 1, used: 0 };
+        const size = { capacity: 1, used: 0, isIdle: false };
         const place = { dataCentre: `dc-${dataCentre}`, isLeaving: false, storeAge: 0, ...size };
         this.nodes.set(name, new Node(this.clock, { name, ip: name, ...place }));
       }
@@ -139,7 +139,7 @@
 
 test('in a small fleet each router tells each', () => {
   const member = (name: string): Member => {
-    const size = { capacity: 1, used: 0 };
+    const size = { capacity: 1, used: 0, isIdle: false };
     return { name, ip: name, dataCentre: name, isLeaving: false, storeAge: 0, ...size };
   };
   const others = ['b', 'c', 'd'].map(member);
--- a/packages/coordination/src/routing/members.test.ts
+++ b/packages/coordination/src/routing/members.test.ts
@@ -6,7 +6,7 @@
 import { Members } from './members.js';
 
 const limit = 1_600;
-const place = { dataCentre: 'suva', isLeaving: false, capacity: 1, used: 0 };
+const place = { dataCentre: 'suva', isLeaving: false, capacity: 1, used: 0, isIdle: false };
 const names = Array.from({ length: 8 }, (_, index) => `router-${index}`);
 
 interface Fleet {
--- a/packages/coordination/src/routing/members.ts
+++ b/packages/coordination/src/routing/members.ts
@@ -14,6 +14,8 @@
   readonly capacity: number;
   /** Cores that it uses of that. */
   readonly used: number;
+  /** Whether it had no request under way or waiting when it was heard. */
+  readonly isIdle: boolean;
   /** Time since it last heard from the store itself, when it said so; infinite if its calls fail. */
   readonly storeAge: Milliseconds;
 }
@@ -47,6 +49,7 @@
 /** Routers by name, the own one not included. */
 export class Members {
   readonly #seen = new Map<string, Seen>();
+  #ranked: { readonly key: string; readonly order: readonly string[] } | undefined;
   /** Routers that may be running, by name. */
   readonly #registered = new Map<string, Registered>();
 
@@ -150,8 +153,15 @@
       fit.push(name);
       if (seen.member.storeAge + (now - seen.heard) < limit) working.add(name);
     }
-    const order = ranking('readers', [this.self, ...fit]);
+    const order = this.#readerOrder([this.self, ...fit].sort());
     const before = order.slice(0, order.indexOf(this.self));
     return before.filter((name) => working.has(name)).length < readerCount;
   }
+
+  /** The ranking of readers, which is asked for often and changes seldom. */
+  #readerOrder(names: readonly string[]): readonly string[] {
+    const key = names.join();
+    if (this.#ranked?.key !== key) this.#ranked = { key, order: ranking('readers', names) };
+    return this.#ranked.order;
+  }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -150,7 +150,7 @@
     const { grace } = this.settings.bounds;
     this.#stopping = clock.now();
     this.#log.write('stopping', { underWay: this.#ingress.underWay });
-    this.#gossip.send();
+    this.#gossip.send(true);
     const removed = this.#registration.remove();
     const deadline = this.#stopping + grace - killMargin;
     while (clock.now() < deadline) {
@@ -271,7 +271,7 @@
     const limits = this.#dispatcher.table?.state.limits;
     if (limits !== undefined) this.#ingress.limit(limits);
     this.#connections.keep(new Set(this.#dispatcher.servers.all().map(({ id }) => id)));
-    this.#gossip.send();
+    this.#gossip.send(true);
   }
 
   #peerAddress(ip: string): string {
--- a/packages/gateway/src/gossip.ts
+++ b/packages/gateway/src/gossip.ts
@@ -23,6 +23,8 @@
 const shortestInterval: Milliseconds = 100;
 /** The same for a router of a large fleet that has no request; a third of the time after which it counts as silent. */
 const idleInterval: Milliseconds = 500;
+/** Idle routers are told in one of so many rounds: every half second, well before the sender counts as silent. */
+const idleRounds = 3;
 /** Datagrams that a router sends a second at most, all receivers together. */
 const sendRate = 120;
 
@@ -31,9 +33,18 @@
 
 /**
  * Name, IP address, whether it is leaving, age of its contact with the store, time since it was heard, capacity
- * and use of its VM.
+ * and use of its VM, whether it is idle.
  */
-const memberCodec = tuple([string, string, boolean, nullable(number), number, number, number]);
+const memberCodec = tuple([
+  string,
+  string,
+  boolean,
+  nullable(number),
+  number,
+  number,
+  number,
+  boolean,
+]);
 
 const messageCodec = Codec.interface({
   router: string,
@@ -65,6 +76,8 @@
   #lastToSilent: Milliseconds = -Infinity;
   #neighbours: Neighbours;
   #isIdle = true;
+  /** Number of the present round of sending. */
+  #round = 0;
 
   private constructor(
     private readonly options: {
@@ -115,7 +128,8 @@
   async run(signal: AbortSignal): Promise<void> {
     const { clock } = this.options;
     while (!signal.aborted) {
-      this.send();
+      this.#round += 1;
+      this.send(false);
       const { mates, isGrouped, representatives } = this.#neighbours;
       const busy = Math.max(shortestInterval, (1_000 * mates.length) / sendRate);
       // In a large fleet most routers have nothing to tell at a time.
@@ -129,18 +143,21 @@
   /** Makes this router known to all that are registered, whether they were heard or not. */
   announce(): void {
     this.#lastToSilent = -Infinity;
-    this.send();
+    this.send(true);
   }
 
-  /** Sends the state of this router to its neighbours, and that of its data centre if it represents it. */
-  send(): void {
+  /**
+   * Sends the state of this router to its neighbours, and that of its data centre if it represents it. Unless
+   * `isNews`, idle routers of a large fleet are left out for a while.
+   */
+  send(isNews: boolean): void {
     const { clock, members, dispatcher, dataCentre } = this.options;
     this.#neighbours = this.#findNeighbours();
     const { mates, isGrouped, representatives } = this.#neighbours;
     const report = dispatcher.report();
     this.#isIdle = report.loads.size === 0 && report.waiting.size === 0;
     const own = encode(this.#message(report, null));
-    for (const { ip } of mates) this.#sendTo(ip, own);
+    for (const mate of mates) if (isNews || this.#isDue(mate)) this.#sendTo(mate.ip, own);
     if (isGrouped && representatives !== undefined) {
       const sum = encode(this.#message(dispatcher.summary(), this.#group(mates)));
       for (const { ip } of representatives) this.#sendTo(ip, sum);
@@ -155,6 +172,12 @@
     }
   }
 
+  /** Whether the router is told again in this round: idle ones of a large fleet are told less often. */
+  #isDue({ isIdle }: Member): boolean {
+    if (!this.#neighbours.isGrouped || !isIdle) return true;
+    return this.#round % idleRounds === 0;
+  }
+
   #sendTo(ip: string, bytes: Buffer): void {
     this.#socket.send(bytes, this.options.port, ip, (error) => {
       if (error !== null) this.options.log.write('datagram failed', { detail: error.message });
@@ -169,7 +192,7 @@
 
   /** What is told of the routers of this data centre, the own one left out. */
   #group(mates: readonly Member[]): Message['members'] {
-    return mates.map(({ name, ip, isLeaving, storeAge, capacity, used }) => [
+    return mates.map(({ name, ip, isLeaving, storeAge, capacity, used, isIdle }) => [
       name,
       ip,
       isLeaving,
@@ -177,6 +200,7 @@
       Math.round(this.options.members.silence(name)),
       capacity,
       used,
+      isIdle,
     ]);
   }
 
@@ -224,10 +248,13 @@
   #take(message: Message, bytes: Buffer, from: string): void {
     const { dispatcher, knowledge, onBehind, dataCentre } = this.options;
     const { router: name, members: group, ip } = message;
-    this.#meet({ ...message, name, storeAge: message.storeAge ?? Infinity }, 0);
-    for (const [mate, mateIp, isLeaving, storeAge, age, capacity, used] of group ?? []) {
+    const isIdle = message.loads.length === 0 && message.waiting.length === 0;
+    this.#meet({ ...message, name, isIdle, storeAge: message.storeAge ?? Infinity }, 0);
+    for (const [mate, mateIp, isLeaving, storeAge, age, capacity, used, isMateIdle] of group ??
+      []) {
       const member = { name: mate, ip: mateIp, dataCentre: message.dataCentre, isLeaving };
-      this.#meet({ ...member, capacity, used, storeAge: storeAge ?? Infinity }, age);
+      const state = { capacity, used, isIdle: isMateIdle, storeAge: storeAge ?? Infinity };
+      this.#meet({ ...member, ...state }, age);
     }
     const reporter: Reporter =
       group === null ? { kind: 'router', name } : { kind: 'dataCentre', name: message.dataCentre };
@@ -237,7 +264,7 @@
       const { representatives, mates } = this.#neighbours;
       const isFirstHand = from === ip;
       if (reporter.kind === 'dataCentre' && isFirstHand && representatives !== undefined)
-        for (const mate of mates) this.#sendTo(mate.ip, bytes);
+        for (const mate of mates) if (this.#isDue(mate)) this.#sendTo(mate.ip, bytes);
     }
     if (isNewer(message, knowledge)) onBehind(from);
   }
