Look every 100 ms again whether reading is due

Cause: 200 ms would take half of what is left of the 2 s in which a desired state has to be in force when all readers are cut off. The kept ranking saves most of the cost already.

--- a/packages/gateway/src/storeReader.ts
+++ b/packages/gateway/src/storeReader.ts
@@ -23,7 +23,7 @@
 const firstPause: Milliseconds = 80;
 const longestPause: Milliseconds = 640;
 /** How often a router that does not read looks whether it has to. */
-const idlePause: Milliseconds = 200;
+const idlePause: Milliseconds = 100;
 
 /** Reads the store for one router. */
 export class StoreReader {
