--- a/packages/standins/src/experiment/engine.ts
+++ b/packages/standins/src/experiment/engine.ts
@@ -88,20 +88,23 @@
   }
 
   async run(signal: AbortSignal): Promise<void> {
-    while (!signal.aborted) await this.clock.sleep(this.#step(), signal);
+    while (!signal.aborted) {
+      this.#admit();
+      if (this.#running.length === 0) await this.clock.sleep(idleStep, signal);
+      else await this.#step(signal);
+    }
   }
 
-  /** Does one step and returns how long it takes. */
-  #step(): Milliseconds {
-    this.#admit();
-    if (this.#running.length === 0) return idleStep;
+  /** One step: a chunk is read, and each request that has been read gets a token at its end. */
+  async #step(signal: AbortSignal): Promise<void> {
     const { step, stepPerRequest, chunk, readRate } = this.timing;
     const reading = this.#running.find(({ unread }) => unread > 0);
     const tokens = Math.min(chunk, reading?.unread ?? 0);
-    if (reading !== undefined) reading.unread -= tokens;
     const lasts = step + stepPerRequest * this.#running.length + tokens / readRate;
+    await this.clock.sleep(lasts, signal);
+    if (reading !== undefined) reading.unread -= tokens;
     if (reading?.unread === 0) this.#keep(reading);
-    const now = this.clock.now() + lasts;
+    const now = this.clock.now();
     for (const running of [...this.#running]) {
       if (running.unread > 0 || running.firstAt > now) continue;
       running.generated += 1;
@@ -111,7 +114,6 @@
       this.cancel(run);
       run.onEnd('whole');
     }
-    return lasts;
   }
 
   #admit(): void {
--- a/packages/standins/src/experiment/main.ts
+++ b/packages/standins/src/experiment/main.ts
@@ -48,7 +48,7 @@
 
 async function compare(scenario: Scenario, flags: Flags): Promise<void> {
   const accounts = new Map<string, Account>();
-  for (const name of [flags.first, flags.second]) {
+  for (const name of new Set([flags.first, flags.second])) {
     const maker = await policyMaker(name);
     const began = performance.now();
     const played = await Emulator.play(scenario, maker, Number(flags.seed));
