--- a/packages/gateway/src/lag.test.ts
+++ b/packages/gateway/src/lag.test.ts
@@ -6,19 +6,6 @@
 import { Clock } from '@catkinwheel/state';
 import { Lag } from './lag.js';
 
-test('a router is behind while the sleep that is over has not ended yet', async () => {
-  const clock = Clock.manual();
-  const lag = Lag.create(clock);
-  const stop = new AbortController();
-  void lag.sleep(100, stop.signal);
-  await clock.advance(50);
-  assert.ok(!lag.isBehind);
-  // One turn of the event loop takes 700 ms.
-  clock.jump(700);
-  assert.ok(lag.isBehind);
-  stop.abort();
-});
-
 test('a router that is late once is behind until it has read what came meanwhile', () => {
   const lag = Lag.create(Clock.manual());
   const looks = [50, 1_500, 10, 10, 600, 10].map((late) => {
--- a/packages/gateway/src/lag.ts
+++ b/packages/gateway/src/lag.ts
@@ -13,8 +13,6 @@
 /** Lateness of this process. */
 export class Lag {
   #lag: Milliseconds = 0;
-  /** When the present sleep should end. */
-  #due: Milliseconds = Infinity;
 
   private constructor(private readonly clock: Clock) {}
 
@@ -24,9 +22,9 @@
 
   /** Sleeps for `duration` and notes by how much it was longer. */
   async sleep(duration: Milliseconds, signal: AbortSignal): Promise<void> {
-    this.#due = this.clock.now() + duration;
+    const due = this.clock.now() + duration;
     await this.clock.sleep(duration, signal);
-    this.note(this.clock.now() - this.#due);
+    this.note(this.clock.now() - due);
   }
 
   /** Takes how much later than due something was done. */
@@ -35,8 +33,6 @@
   }
 
   get isBehind(): boolean {
-    // Many requests are read in one turn of the event loop, and the sleep ends only after it.
-    const late = this.clock.now() - this.#due;
-    return Math.max(late, this.#lag) > lagLimit;
+    return this.#lag > lagLimit;
   }
 }
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -151,7 +151,7 @@
   }
 
   async #tryServers(route: Route, body: Buffer): Promise<void> {
-    const { dispatcher, metrics, clock, isBehind } = this.parts;
+    const { dispatcher, metrics, clock } = this.parts;
     const deadline = this.#arrived + Math.min(this.#head.timeLeft ?? route.timeout, route.timeout);
     this.#deadlineTimer = setTimeout(() => {
       this.#ending.abort('deadline');
@@ -179,12 +179,6 @@
         this.#giveUp(grant.reason, verdict, grant.retryAfter);
         return;
       }
-      if (sends === 0 && isBehind()) {
-        // Its caller may have left without this router having read that yet.
-        grant.finish();
-        this.#refuse('behind', behindRetry);
-        return;
-      }
       if (tries === 0) metrics.waiting.observe((clock.now() - this.#arrived) / 1_000);
       const mayRepeat = sends + 1 < route.maxAttempts && isRepeatable(route);
       const attempt = await this.#attempt(route, grant, body, deadline, mayRepeat);
