Make the soak's check of drained servers able to fail, and send prompts in it

Cause: reading the change again. Requests to models had a token field that the router cannot read ('100 20'), so no prompt was routed. A map of versions was written and never read. Change: a drained server is judged by the routers that were undisturbed, and each run replaces a server of each service and changes the desired state with nothing else wrong; the result counts both checks. Model requests use the fields of the stack tests.

--- a/packages/standins/src/stack/fleet.ts
+++ b/packages/standins/src/stack/fleet.ts
@@ -2,6 +2,7 @@
 
 import { createServer } from 'node:net';
 import type { AddressInfo } from 'node:net';
+import { setTimeout as pause } from 'node:timers/promises';
 import { Gateway } from '@catkinwheel/gateway';
 import type { Settings } from '@catkinwheel/platform';
 import { StackServer } from './server.js';
@@ -16,6 +17,13 @@
   team: 'large',
 } as const;
 
+/** Header fields of a request to a model: a shared prompt part and one of its own. */
+export const modelFields = {
+  model: 'm',
+  'token-usage': '1200,60',
+  'prompt-prefix': 'aa:1000,bb:200',
+} as const;
+
 /** A desired state as operators write it. */
 export function desiredStateOf(
   version: number,
@@ -157,10 +165,6 @@
   }
 }
 
-export function pause(duration: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, duration));
-}
-
 function portOf(address: string | undefined): number {
   return Number(address?.split(':').at(-1) ?? 0);
 }
--- a/packages/standins/src/stack/routerProcess.ts
+++ b/packages/standins/src/stack/routerProcess.ts
@@ -4,8 +4,9 @@
 import { createWriteStream, mkdirSync, writeFileSync } from 'node:fs';
 import { createRequire } from 'node:module';
 import { dirname, join } from 'node:path';
+import { setTimeout as pause } from 'node:timers/promises';
+import { paths } from '@catkinwheel/platform';
 import type { Milliseconds } from '@catkinwheel/state';
-import { pause } from './fleet.js';
 
 const gatewayMain = join(
   dirname(createRequire(import.meta.url).resolve('@catkinwheel/gateway')),
@@ -138,7 +139,7 @@
   async #isReady(): Promise<boolean> {
     const { ip, ports } = this.options;
     try {
-      const answer = await fetch(`http://${ip}:${ports.ready}/-/ready`, {
+      const answer = await fetch(`http://${ip}:${ports.ready}${paths.ready}`, {
         signal: AbortSignal.timeout(1_000),
       });
       return answer.status === 200;
--- a/packages/standins/src/stack/server.ts
+++ b/packages/standins/src/stack/server.ts
@@ -3,6 +3,7 @@
 
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import { setTimeout as pause } from 'node:timers/promises';
 
 /** How a server treats one request. */
 export type Behaviour =
@@ -201,7 +202,3 @@
     response.end();
   }
 }
-
-function pause(duration: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, duration));
-}
--- a/packages/standins/src/stack/soak.ts
+++ b/packages/standins/src/stack/soak.ts
@@ -2,11 +2,12 @@
 // and the promises checked from what callers and servers see.
 
 import { Agent } from 'node:http';
+import { setTimeout as pause } from 'node:timers/promises';
 import type { Milliseconds } from '@catkinwheel/state';
 import { oneOf, randomFrom, type Random } from '../random.js';
 import { Relay } from '../relay.js';
 import { call, type CallResult } from './caller.js';
-import { desiredStateOf, freePorts, names, pause } from './fleet.js';
+import { desiredStateOf, freePorts, modelFields, names } from './fleet.js';
 import { RouterProcess } from './routerProcess.js';
 import { StackServer, streamLength, type Behaviour } from './server.js';
 import { StackStore } from './store.js';
@@ -62,6 +63,8 @@
   readonly faults: number;
   readonly requests: number;
   readonly served: number;
+  /** New desired states and drained servers that could be checked at undisturbed routers. */
+  readonly checks: { readonly versions: number; readonly drained: number };
   readonly violations: readonly string[];
 }
 
@@ -69,8 +72,10 @@
   readonly server: StackServer;
   readonly relay: Relay;
   readonly service: string;
-  /** When the store took its entry as leaving. */
-  leaving?: number;
+  /** Whether its entry says that it leaves. */
+  isLeaving: boolean;
+  /** When it must get no new request any more, and the routers that were undisturbed until then. */
+  drained?: { readonly at: number; readonly nodes: ReadonlySet<Node> };
 }
 
 interface Node {
@@ -86,7 +91,6 @@
   readonly node: Node;
   readonly run: number;
   readonly sent: number;
-  readonly version: number;
 }
 
 /** One run of the soak. */
@@ -98,14 +102,16 @@
   readonly #busy = new Map<string, Promise<void>>();
   readonly #refused: string[] = [];
   readonly #ended = new AbortController();
+  /** The router that each request was sent to. */
+  readonly #sentTo = new Map<string, Node>();
   #version = 1;
-  /** When the store took each version. */
-  readonly #versions = new Map<number, number>([[1, performance.now()]]);
   #storeDisturbedUntil = 0;
   #lastServer = 0;
   #faults = 0;
   #requests = 0;
   #served = 0;
+  #versionChecks = 0;
+  #drainChecks = 0;
 
   private constructor(
     private readonly options: SoakOptions,
@@ -126,6 +132,8 @@
         soak.#startFault();
       }
       await Promise.all(soak.#busy.values());
+      await soak.#heal();
+      await soak.#calmChanges();
       await soak.#calmStops();
       soak.#ended.abort();
       await Promise.all(callers);
@@ -137,7 +145,9 @@
       await soak.#close();
     }
     const [faults, requests, served] = [soak.#faults, soak.#requests, soak.#served];
-    return { seed: options.seed, faults, requests, served, violations: [...soak.#violations] };
+    const checks = { versions: soak.#versionChecks, drained: soak.#drainChecks };
+    const violations = [...soak.#violations];
+    return { seed: options.seed, faults, requests, served, checks, violations };
   }
 
   async #setUp(): Promise<void> {
@@ -167,7 +177,7 @@
     const server = await StackServer.start(`server-${this.#lastServer}`);
     const relay = await Relay.create();
     relay.point(server.address);
-    const backend: Backend = { server, relay, service };
+    const backend: Backend = { server, relay, service, isLeaving: false };
     this.#backends.push(backend);
     this.#register(backend, {});
   }
@@ -185,7 +195,7 @@
     let chosen = -Infinity;
     while (!this.#ended.signal.aborted) {
       if (performance.now() - chosen > addressLife) {
-        node = this.#ready(random) ?? node;
+        node = this.#running(random) ?? node;
         chosen = performance.now();
       }
       await this.#request(node, oneOf(random, kinds), agent);
@@ -195,7 +205,7 @@
   }
 
   /** A router that runs, as a caller finds it by the directory. */
-  #ready(random: Random): Node | undefined {
+  #running(random: Random): Node | undefined {
     const running = this.#nodes.filter(({ router }) => router.isRunning);
     return running.length === 0 ? undefined : oneOf(random, running);
   }
@@ -204,7 +214,8 @@
     this.#requests += 1;
     const id = `${kind}-${this.#requests}`;
     const sent = performance.now();
-    const sending: Request = { id, kind, node, run: node.router.run, sent, version: this.#version };
+    const sending: Request = { id, kind, node, run: node.router.run, sent };
+    this.#sentTo.set(id, node);
     const result = await this.#send(node, kind, id, agent);
     this.#check(sending, result);
   }
@@ -221,7 +232,7 @@
       method: isCharge ? 'POST' : 'GET',
       // The route of charges is public.
       ...(isCharge ? { body: 'amount=1' } : { key: names.key }),
-      ...(kind === 'letters' ? { headers: { 'token-usage': '100 20', model: 'm' } } : {}),
+      ...(kind === 'letters' ? { headers: modelFields } : {}),
     });
   }
 
@@ -262,7 +273,7 @@
     const node = oneOf(this.#random, this.#nodes);
     const backend = oneOf(
       this.#random,
-      this.#backends.filter(({ leaving }) => leaving === undefined),
+      this.#backends.filter(({ isLeaving }) => !isLeaving),
     );
     const again = this.#between(restart);
     const count = 1 + Math.floor(this.#random() * 6);
@@ -346,14 +357,11 @@
     const added = { ...routes[1], name: `added-${version}`, prefix: `/added-${version}/` };
     this.store.put('op', 'config', { ...rest, routes: [...routes, added] });
     const since = performance.now();
-    this.#versions.set(version, since);
     await pause(inForceWithin);
     // Another change may have taken its place; routers that were disturbed have longer.
     if (this.#version !== version || this.#storeDisturbedUntil > since) return;
-    const calm = this.#nodes.filter(
-      ({ router, disturbedUntil }) => router.isRunning && disturbedUntil < since,
-    );
-    for (const { router, disturbedUntil } of calm) {
+    for (const node of this.#calmNodes(since)) {
+      const { router } = node;
       const id = `probe-${version}-${router.name}`;
       const path = `/added-${version}/${id}`;
       const { status } = await call({
@@ -363,8 +371,9 @@
         id,
         key: names.key,
       });
-      const isCalm = disturbedUntil < since && this.#version === version;
-      if (isCalm && status === 404)
+      if (node.disturbedUntil >= since || this.#version !== version) continue;
+      this.#versionChecks += 1;
+      if (status === 404)
         this.#violate(`desired state ${version} is not in force at ${router.name}`);
     }
   }
@@ -388,22 +397,46 @@
     this.#tell(`${server.id} is replaced`);
     await this.#addServer(service);
     this.#register(backend, { state: 'draining', sequence: 2 });
-    backend.leaving = performance.now();
-    await pause(drainedWithin + timeout);
+    backend.isLeaving = true;
+    const since = performance.now();
+    await pause(drainedWithin);
+    const nodes = new Set(this.#calmNodes(since));
+    if (this.#storeDisturbedUntil < since && nodes.size > 0) {
+      backend.drained = { at: performance.now(), nodes };
+      this.#drainChecks += 1;
+    }
+    await pause(timeout);
     this.store.remove('servers', server.id);
     relay.close();
     await server.close();
   }
 
-  /** With nothing else wrong every router is stopped once; no request may be lost by it. */
-  async #calmStops(): Promise<void> {
+  /** Ends every fault and lets time pass until all routers count as undisturbed. */
+  async #heal(): Promise<void> {
     for (const { relay, server } of this.#backends) {
       relay.rule('pass');
       server.behaviours = [];
     }
     for (const { router } of this.#nodes) if (!router.isRunning) router.start();
     await Promise.all(this.#nodes.map(({ router }) => router.ready()));
+    for (const node of this.#nodes) this.#disturb(node, 0);
     await pause(settled);
+  }
+
+  /** With nothing else wrong a server of each service is replaced and the desired state changed. */
+  async #calmChanges(): Promise<void> {
+    const leaving = [names.model, names.desk].flatMap((service) => {
+      const first = this.#backends.find(
+        (backend) => backend.service === service && !backend.isLeaving,
+      );
+      return first === undefined ? [] : [first];
+    });
+    const changes = leaving.map((backend) => this.#replace(backend));
+    await Promise.all([...changes, this.#changeState()]);
+  }
+
+  /** With nothing else wrong some routers are stopped in turn; no request may be lost by it. */
+  async #calmStops(): Promise<void> {
     const random = randomFrom(this.options.seed);
     for (const node of this.#nodes.slice(0, 3)) {
       this.#disturb(node, grace + settled);
@@ -437,11 +470,12 @@
   /** What the servers saw, against what callers were told. */
   #checkRuns(): void {
     const runs = new Map<string, number>();
-    for (const { server, leaving } of this.#backends) {
+    for (const { server, drained } of this.#backends) {
       for (const id of server.ran) runs.set(id, (runs.get(id) ?? 0) + 1);
       for (const { id, at, headers } of server.seen) {
-        const isLate = leaving !== undefined && at > leaving + drainedWithin;
-        if (isLate && this.#isCalm(leaving)) this.#violate(`${server.id} got ${id} while leaving`);
+        const node = this.#sentTo.get(id);
+        const isBound = node !== undefined && drained?.nodes.has(node) === true;
+        if (isBound && at > drained.at) this.#violate(`${server.id} got ${id} while leaving`);
         if (headers.authorization !== undefined) this.#violate(`${server.id} got the key of ${id}`);
         const expected = id.includes('charges') ? undefined : names.team;
         if (headers.tenant !== expected)
@@ -454,13 +488,11 @@
       if (runs.has(id)) this.#violate(`${id} ran, though its caller was told that it had not`);
   }
 
-  /** Whether no router and not the store was disturbed around `time`. */
-  #isCalm(time: number): boolean {
-    const last = Math.max(
-      this.#storeDisturbedUntil,
-      ...this.#nodes.map(({ disturbedUntil }) => disturbedUntil),
+  /** Routers that run and were not disturbed since `time`, nor shortly before. */
+  #calmNodes(time: number): readonly Node[] {
+    return this.#nodes.filter(
+      ({ router, disturbedUntil }) => router.isRunning && disturbedUntil < time,
     );
-    return last < time;
   }
 
   #disturb(node: Node, lasts: Milliseconds): void {
--- a/packages/standins/src/stack/stack.test.ts
+++ b/packages/standins/src/stack/stack.test.ts
@@ -4,7 +4,8 @@
 import assert from 'node:assert/strict';
 import { after, before, beforeEach, describe, test } from 'node:test';
 import { call, type CallResult } from './caller.js';
-import { StackFleet, desiredStateOf, names, pause, until } from './fleet.js';
+import { StackFleet, desiredStateOf, modelFields, names, until } from './fleet.js';
+import { setTimeout as pause } from 'node:timers/promises';
 import { streamLength, type Behaviour, type StackServer } from './server.js';
 
 let fleet: StackFleet;
@@ -38,7 +39,7 @@
     path: '/letters/1?draft=1',
     method: 'POST',
     body: '{"prompt":"…"}',
-    headers: { model: 'm', 'token-usage': '1200,60', 'prompt-prefix': 'aa:1000,bb:200' },
+    headers: modelFields,
   },
 } as const;
 
