Read log files in one place, and decode each line once

explain and logs each had the loop over files with its counts of unreadable and dropped lines, and explain decoded every line again for each server and worked out its time four times. The experiment made the list of router names for every router and copied a group for each request.

--- a/packages/catkinwheel/src/daySummary.ts
+++ b/packages/catkinwheel/src/daySummary.ts
@@ -3,7 +3,7 @@
 
 import { build, type Histogram } from 'hdr-histogram-js';
 import type { Milliseconds } from '@catkinwheel/state';
-import { readLog, requestOf, type LogLine, type RequestRecord } from './routerLog.js';
+import { readLogs, type Gaps, type LogLine, type RequestRecord } from './routerLog.js';
 import { Timeline, runKey } from './timeline.js';
 
 /** Requests of one team or route. */
@@ -40,7 +40,7 @@
   readonly to: number | undefined;
 }
 
-export interface DaySummary {
+export interface DaySummary extends Gaps {
   readonly routers: number;
   readonly seconds: number;
   readonly outcomes: Readonly<Record<string, number>>;
@@ -50,9 +50,6 @@
   readonly first: Readonly<Record<string, Quantiles>>;
   readonly notices: readonly Notice[];
   readonly gaps: readonly Gap[];
-  /** Lines that routers dropped, and lines that were not a router's. */
-  readonly dropped: number;
-  readonly unreadable: number;
   /** Runs whose clock could not be compared with the others'. */
   readonly unaligned: readonly string[];
 }
@@ -76,23 +73,17 @@
   const reasons = new Map<string, number>();
   const teams = new Map<string, Share>();
   const firsts = new Map<string, Histogram>();
-  let unreadable = 0;
-  let dropped = 0;
-  for (const path of paths) {
-    for await (const line of readLog(path)) {
-      const request = line === undefined ? undefined : requestOf(line);
-      if (line === undefined) unreadable += 1;
-      else if (request === undefined) changes.push(line);
-      else {
-        count(outcomes, request.outcome);
-        if (request.reason !== undefined) count(reasons, `${request.outcome} ${request.reason}`);
-        const team = request.team ?? '(none)';
-        teams.set(team, add(teams.get(team) ?? noShare, request));
-        noteFirst(firsts, request);
-      }
-      if (line?.event === 'lines dropped') dropped += Number(line.fields.lines);
+  const gaps = await readLogs(paths, (line, request) => {
+    if (request === undefined) {
+      changes.push(line);
+      return;
     }
-  }
+    count(outcomes, request.outcome);
+    if (request.reason !== undefined) count(reasons, `${request.outcome} ${request.reason}`);
+    const team = request.team ?? '(none)';
+    teams.set(team, add(teams.get(team) ?? noShare, request));
+    noteFirst(firsts, request);
+  });
   const timeline = Timeline.create(changes);
   const lines = changes.map((line) => ({ line, at: timeline.at(line) }));
   lines.sort((a, b) => a.at - b.at);
@@ -109,8 +100,7 @@
     first: Object.fromEntries([...firsts].map(([route, times]) => [route, quantiles(times)])),
     notices: timed.flatMap(noticeOf),
     gaps: gapsOf(timed),
-    dropped,
-    unreadable,
+    ...gaps,
     unaligned: [...timeline.unaligned],
   };
 }
--- a/packages/catkinwheel/src/routerLog.ts
+++ b/packages/catkinwheel/src/routerLog.ts
@@ -79,8 +79,33 @@
 /** The end of one request, as its router tells it. Times in milliseconds. */
 export type RequestRecord = GetType<typeof requestCodec>;
 
+/** What a reading of log files left out. */
+export interface Gaps {
+  /** Lines that were not a router's. */
+  readonly unreadable: number;
+  /** Lines that routers dropped because there were too many. */
+  readonly dropped: number;
+}
+
+/** Gives `take` every line of the files, each with the request that it tells of. Throws `LogFileError`. */
+export async function readLogs(
+  paths: readonly string[],
+  take: (line: LogLine, request: RequestRecord | undefined) => void,
+): Promise<Gaps> {
+  let unreadable = 0;
+  let dropped = 0;
+  for (const path of paths) {
+    for await (const line of readLog(path)) {
+      if (line === undefined) unreadable += 1;
+      else take(line, requestOf(line));
+      if (line?.event === 'lines dropped') dropped += Number(line.fields.lines);
+    }
+  }
+  return { unreadable, dropped };
+}
+
 /** Yields the lines of a file in their order, and `undefined` for each that is not a router's. */
-export async function* readLog(path: string): AsyncGenerator<LogLine | undefined> {
+async function* readLog(path: string): AsyncGenerator<LogLine | undefined> {
   const input = createReadStream(path, 'utf8');
   try {
     for await (const text of createInterface({ input, crlfDelay: Infinity }))
@@ -112,7 +137,7 @@
 }
 
 /** The request that a line tells of; undefined if it tells of something else or cannot be read. */
-export function requestOf(line: LogLine): RequestRecord | undefined {
+function requestOf(line: LogLine): RequestRecord | undefined {
   if (line.event !== 'request') return undefined;
   return requestCodec.decode(line.fields).toMaybe().extract();
 }
--- a/packages/catkinwheel/src/story.ts
+++ b/packages/catkinwheel/src/story.ts
@@ -1,7 +1,7 @@
 // What became of one request and why, told from the logs of all routers.
 
 import type { Milliseconds } from '@catkinwheel/state';
-import { readLog, requestOf, type LogLine, type RequestRecord } from './routerLog.js';
+import { readLogs, type Gaps, type LogLine, type RequestRecord } from './routerLog.js';
 import { Timeline, runKey } from './timeline.js';
 
 /** Time before a request's arrival from which events can matter to it. */
@@ -59,55 +59,48 @@
 }
 
 /** The stories of a request in the log files; more than one if several routers received its id. */
-export interface Stories {
+export interface Stories extends Gaps {
   readonly stories: readonly Story[];
-  /** Lines that were not a router's. */
-  readonly unreadable: number;
-  /** Lines that routers dropped because there were too many. */
-  readonly dropped: number;
+}
+
+/** A line, the request that it tells of, and its common time. */
+interface Entry {
+  readonly line: LogLine;
+  readonly request: RequestRecord | undefined;
+  readonly at: Milliseconds;
 }
 
 /** Reads the files and tells what became of request `id`. Throws `LogFileError`. */
 export async function explain(id: string, paths: readonly string[]): Promise<Stories> {
-  const lines: LogLine[] = [];
-  let unreadable = 0;
-  let dropped = 0;
-  for (const path of paths) {
-    for await (const line of readLog(path)) {
-      if (line === undefined) unreadable += 1;
-      else lines.push(line);
-      if (line?.event === 'lines dropped') dropped += Number(line.fields.lines);
-    }
-  }
-  const timeline = Timeline.create(lines);
-  const stories = lines.flatMap((line) => {
-    const request = requestOf(line);
-    return request?.id === id ? [tell(line, request, lines, timeline)] : [];
+  const lines: Omit<Entry, 'at'>[] = [];
+  const gaps = await readLogs(paths, (line, request) => lines.push({ line, request }));
+  const timeline = Timeline.create(lines.map(({ line }) => line));
+  const entries = lines.map((entry): Entry => ({ ...entry, at: timeline.at(entry.line) }));
+  const stories = entries.flatMap(({ line, request, at }) => {
+    if (request?.id !== id) return [];
+    const isAligned = !timeline.unaligned.has(runKey(line));
+    return [{ ...tell(line, request, at, entries), isAligned }];
   });
-  return { stories, unreadable, dropped };
+  return { stories, ...gaps };
 }
 
 function tell(
   line: LogLine,
   request: RequestRecord,
-  lines: readonly LogLine[],
-  timeline: Timeline,
-): Story {
-  const ended = timeline.at(line);
+  ended: Milliseconds,
+  entries: readonly Entry[],
+): Omit<Story, 'isAligned'> {
   const arrived = ended - request.took;
-  const near = lines.filter((other) => {
-    const at = timeline.at(other);
-    return at >= arrived - before && at <= ended + after;
-  });
+  const near = entries.filter(({ at }) => at >= arrived - before && at <= ended + after);
   const servers = new Set(request.attempts.map(({ server }) => server));
   if (request.basis !== undefined) servers.add(request.basis.server);
   const events = near
-    .filter((other) => touches(other, line, servers))
+    .filter((other) => touches(other.line, line, servers))
     .map((other) => ({
-      at: timeline.at(other),
-      router: other.router,
-      event: other.event,
-      fields: detailsOf(other),
+      at: other.at,
+      router: other.line.router,
+      event: other.line.event,
+      fields: detailsOf(other.line),
     }))
     .sort((a, b) => Math.abs(a.at - ended) - Math.abs(b.at - ended))
     .slice(0, mostEvents)
@@ -121,7 +114,6 @@
     ...causeOf(request),
     events,
     neighbours: [...servers].map((server) => neighboursOf(server, near, line)),
-    isAligned: !timeline.unaligned.has(runKey(line)),
   };
 }
 
@@ -139,11 +131,11 @@
   return Object.fromEntries(Object.entries(line.fields).filter(([name]) => !head.has(name)));
 }
 
-function neighboursOf(server: string, near: readonly LogLine[], own: LogLine): Neighbours {
+function neighboursOf(server: string, near: readonly Entry[], own: LogLine): Neighbours {
   const results = new Map<string, number>();
-  for (const line of near) {
+  for (const { line, request } of near) {
     if (line === own) continue;
-    for (const attempt of requestOf(line)?.attempts ?? []) {
+    for (const attempt of request?.attempts ?? []) {
       if (attempt.server !== server) continue;
       results.set(attempt.result, (results.get(attempt.result) ?? 0) + 1);
     }
--- a/packages/standins/src/experiment/account.ts
+++ b/packages/standins/src/experiment/account.ts
@@ -58,7 +58,9 @@
     const members = new Map<string, Served[]>();
     for (const request of served) {
       const key = keyOf(request);
-      members.set(key, [...(members.get(key) ?? []), request]);
+      const known = members.get(key);
+      if (known === undefined) members.set(key, [request]);
+      else known.push(request);
     }
     return [...members].map(([name, requests]) => group(name, requests));
   };
--- a/packages/standins/src/experiment/emulator.ts
+++ b/packages/standins/src/experiment/emulator.ts
@@ -63,6 +63,7 @@
   readonly #errors: Milliseconds[] = [];
   readonly #ended = new AbortController();
   readonly #routes: ReadonlyMap<Kind, Route>;
+  readonly #names: readonly string[];
   #lastServer = 0;
 
   private constructor(
@@ -71,6 +72,7 @@
     seed: number,
   ) {
     this.#random = randomFrom(seed + 1);
+    this.#names = Array.from({ length: scenario.routers }, (_, index) => `router-${index + 1}`);
     this.#routes = new Map(scenario.kinds.map((kind) => [kind, routeOf(kind)]));
   }
 
@@ -97,8 +99,7 @@
   #setUp(): void {
     const { scenario } = this;
     for (let index = 0; index < scenario.servers; index += 1) this.#addServer(0);
-    const names = Array.from({ length: scenario.routers }, (_, index) => `router-${index + 1}`);
-    for (const [index, name] of names.entries()) {
+    for (const [index, name] of this.#names.entries()) {
       const dataCentre = scenario.dataCentres[index % scenario.dataCentres.length] ?? '';
       this.#routers.push({ name, dataCentre, isUp: true, policy: this.#policy(name, dataCentre) });
     }
@@ -107,10 +108,6 @@
   }
 
   #policy(name: string, dataCentre: string): Policy {
-    const names = Array.from(
-      { length: this.scenario.routers },
-      (_, index) => `router-${index + 1}`,
-    );
     const policy = this.maker.make({
       clock: this.#clock,
       self: name,
@@ -118,8 +115,8 @@
       regionOf: Object.fromEntries(this.scenario.dataCentres.map((centre) => [centre, 'region'])),
       cold: { factor: 1.5, slack: 5 },
       repeats: { ratio: 0.2, slack: 54, window: 10_000 },
-      routers: () => names,
-      entrances: () => names,
+      routers: () => this.#names,
+      entrances: () => this.#names,
     });
     policy.apply(this.maker.table.create(this.#desiredState()));
     policy.applyServers([...this.#servers.values()], false);
