Tell how late a router is and where its time goes

Logs could not tell a router that spends its time on datagrams or on its queue from one whose requests wait unread. Each request's line has the lateness of its router, callers that leave before their request is read get a line, and a line every 2 s divides the time of the event loop by activity; the same as metrics.

--- a/packages/catkinwheel/src/routerLog.ts
+++ b/packages/catkinwheel/src/routerLog.ts
@@ -59,7 +59,7 @@
 
 const requestCodec = Codec.interface({
   id: optional(string),
-  outcome: exactly('delivered', 'refused', 'rejected', 'failed'),
+  outcome: exactly('delivered', 'refused', 'rejected', 'failed', 'left'),
   reason: optional(string),
   verdict: optional(string),
   status: optional(number),
@@ -71,6 +71,7 @@
   took: number,
   desired: optional(number),
   waiting: number,
+  late: optional(number),
   reportAge: optional(number),
   basis: optional(basisCodec),
   attempts: array(attemptCodec),
--- a/packages/coordination/src/routing/admission.ts
+++ b/packages/coordination/src/routing/admission.ts
@@ -6,6 +6,7 @@
 import type { Clock, Milliseconds } from '@catkinwheel/state';
 import { noLoad, sum, type Load, type LoadMap } from './loads.js';
 import type { Placement } from './placement.js';
+import type { Work } from './work.js';
 
 /** A request that wants a server. */
 export interface Job {
@@ -103,11 +104,13 @@
 
   private constructor(
     private readonly clock: Clock,
+    private readonly work: Work,
     private readonly capacity: Capacity,
   ) {}
 
-  static create(clock: Clock, capacity: Capacity): Admission {
-    return new Admission(clock, capacity);
+  /** `work` counts the time of looking for servers. */
+  static create(clock: Clock, work: Work, capacity: Capacity): Admission {
+    return new Admission(clock, work, capacity);
   }
 
   /** What waits for each server. */
@@ -139,7 +142,9 @@
       };
       signal.addEventListener('abort', leave);
       this.#waiting = [...this.#waiting, waiter];
-      this.#lookAtNew(waiter);
+      this.work.run('arrivals', () => {
+        this.#lookAtNew(waiter);
+      });
     });
   }
 
@@ -153,8 +158,10 @@
     this.#pumped = now;
     const ahead = new Map<string, Load>();
     if (this.#waiting.length > 0) {
-      const view = this.capacity.view();
-      for (const waiter of this.#inOrder(view)) this.#look(waiter, view, ahead);
+      this.work.run('queue', () => {
+        const view = this.capacity.view();
+        for (const waiter of this.#inOrder(view)) this.#look(waiter, view, ahead);
+      });
     }
     this.#ahead = ahead;
   }
--- a/packages/coordination/src/routing/dispatcher.test.ts
+++ b/packages/coordination/src/routing/dispatcher.test.ts
@@ -6,12 +6,14 @@
 import { Dispatcher, type Grant, type Rejection, type Request } from './dispatcher.js';
 import { desiredState, prompt, route, server } from './fixtures.test.js';
 import { RouteTable } from './routeTable.js';
+import { Work } from './work.js';
 
 const never = new AbortController().signal;
 
 function dispatcher(clock: Clock, self = 'r1', routers = ['r1']): Dispatcher {
   const made = Dispatcher.create({
     clock,
+    work: Work.create(clock),
     self,
     dataCentre: 'suva',
     regionOf: { suva: 'viti-levu', nadi: 'viti-levu' },
--- a/packages/coordination/src/routing/dispatcher.ts
+++ b/packages/coordination/src/routing/dispatcher.ts
@@ -16,6 +16,7 @@
 import { ServerTable, type KnownServer } from './serverTable.js';
 import { Standings, type Change, type Result } from './standing.js';
 import { TeamShares } from './teamShares.js';
+import type { Work } from './work.js';
 
 /** Part of its aim that a request may spend behind others at a server. The rest is its own reading. */
 const backlogPart = 0.15;
@@ -63,6 +64,8 @@
 
 export interface DispatcherOptions {
   readonly clock: Clock;
+  /** Counts the time of the looks at what waits. */
+  readonly work: Work;
   readonly self: string;
   readonly dataCentre: string;
   /** Region of each data centre. */
@@ -107,7 +110,7 @@
     this.#reports = Reports.create(clock);
     this.#cold = ColdStart.create(clock, options.cold, self, entrances);
     this.#teams = TeamShares.create(clock);
-    this.#admission = Admission.create(clock, { view: () => this.#view() });
+    this.#admission = Admission.create(clock, options.work, { view: () => this.#view() });
   }
 
   static create(options: DispatcherOptions): Dispatcher {
--- a/packages/coordination/src/routing/index.ts
+++ b/packages/coordination/src/routing/index.ts
@@ -19,3 +19,4 @@
 export * from './serverTable.js';
 export * from './standing.js';
 export * from './teamShares.js';
+export * from './work.js';
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -4,8 +4,10 @@
 import {
   Dispatcher,
   Members,
+  Work,
   entrancesOf,
   type DispatcherOptions,
+  type WorkTimes,
 } from '@catkinwheel/coordination/routing';
 import { Store, directorySize, encodeDirectory, paths, type Settings } from '@catkinwheel/platform';
 import { Clock, type Milliseconds } from '@catkinwheel/state';
@@ -36,6 +38,8 @@
 const quietTime: Milliseconds = 700;
 /** Time before SIGKILL at which a stopping router ends in any case. */
 const killMargin: Milliseconds = 700;
+/** Time between two log lines about the load; a day of them stays under a hundredth of the lines of requests. */
+const loadInterval: Milliseconds = 2_000;
 /** Port of the metrics on every address of the VM. */
 const metricsPortOffset = 10;
 
@@ -58,7 +62,10 @@
   readonly #servers: ServerType[] = [];
   readonly #usage: Usage;
   readonly #lag: Lag;
+  readonly #work: Work;
   #stopping: Milliseconds | undefined;
+  /** Times that the last line about the load told. */
+  #toldWork: { readonly at: Milliseconds; readonly times: WorkTimes };
 
   private constructor(private readonly settings: Settings) {
     const clock = this.#clock;
@@ -66,8 +73,10 @@
     const log = Log.create(clock, router, this.#boot);
     const metrics = this.#metrics;
     const members = Members.create(clock, router, capacity);
+    const work = Work.create(clock);
+    this.#toldWork = { at: clock.now(), times: work.times() };
     const dispatcher = Dispatcher.create({
-      ...dispatcherOptions(settings, clock, members),
+      ...dispatcherOptions(settings, clock, work, members),
       onServer: (server, change, failureRate) => {
         log.write(`server ${change}`, { server, failureRate: Number(failureRate.toFixed(2)) });
       },
@@ -76,7 +85,10 @@
     const store = Store.create(settings.store);
     this.#log = log;
     this.#usage = Usage.create(clock, capacity);
-    this.#lag = Lag.create(clock);
+    this.#work = work;
+    this.#lag = Lag.create(clock, (isBehind, late) => {
+      this.#tellLoad(isBehind ? 'router behind' : 'router caught up', late);
+    });
     this.#members = members;
     this.#dispatcher = dispatcher;
     this.#knowledge = knowledge;
@@ -102,6 +114,7 @@
     });
     this.#gossip = Gossip.create({
       clock,
+      work,
       router,
       dataCentre,
       ip,
@@ -127,6 +140,7 @@
         metrics,
         isClosing: () => this.#isClosing(),
         isBehind: () => this.#lag.isBehind,
+        late: () => this.#lag.late,
         random: Math.random,
       },
       () => this.#stopping !== undefined,
@@ -199,6 +213,33 @@
     // At the first start of a fleet its servers hold nothing.
     if (!settings.isFirstStart) void this.#readKeptParts();
     void this.#tick(signal);
+    void this.#tellLoads(signal);
+  }
+
+  /** Tells the log from time to time how loaded this router is; between, only when it falls behind. */
+  async #tellLoads(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await this.#clock.sleep(loadInterval, signal);
+      this.#tellLoad('load', this.#lag.late);
+    }
+  }
+
+  /** Cores in use, and the time in ms that each activity took since the last such line. */
+  #tellLoad(event: string, late: Milliseconds): void {
+    const times = this.#work.times();
+    const since = this.#toldWork;
+    this.#toldWork = { at: this.#clock.now(), times };
+    this.#log.write(event, {
+      late: Math.round(late),
+      used: Number(this.#usage.cores().toFixed(3)),
+      capacity: this.settings.capacity,
+      underWay: this.#ingress.underWay,
+      waiting: this.#dispatcher.waiting,
+      span: Math.round(this.#clock.now() - since.at),
+      datagrams: Math.round(times.datagrams - since.times.datagrams),
+      queue: Math.round(times.queue - since.times.queue),
+      arrivals: Math.round(times.arrivals - since.times.arrivals),
+    });
   }
 
   #readKeptParts(): Promise<void> {
@@ -232,6 +273,8 @@
     const metrics = new Hono();
     metrics.get('/metrics', async (context) => {
       this.#metrics.members.set(this.#members.alive().length);
+      this.#metrics.setWork(this.#work.times());
+      this.#metrics.late.set(this.#lag.late / 1_000);
       return context.text(await this.#metrics.registry.metrics());
     });
     const peers = new Hono();
@@ -294,10 +337,16 @@
   }
 }
 
-function dispatcherOptions(settings: Settings, clock: Clock, members: Members): DispatcherOptions {
+function dispatcherOptions(
+  settings: Settings,
+  clock: Clock,
+  work: Work,
+  members: Members,
+): DispatcherOptions {
   const { bounds } = settings;
   return {
     clock,
+    work,
     self: settings.router,
     dataCentre: settings.dataCentre,
     regionOf: settings.regionOf,
--- a/packages/gateway/src/gossip.ts
+++ b/packages/gateway/src/gossip.ts
@@ -13,6 +13,7 @@
   type Neighbours,
   type Report,
   type Reporter,
+  type Work,
 } from '@catkinwheel/coordination/routing';
 import type { Clock, Milliseconds } from '@catkinwheel/state';
 import { Codec, array, boolean, nullable, number, string, tuple, type GetType } from 'purify-ts';
@@ -82,6 +83,7 @@
   private constructor(
     private readonly options: {
       readonly clock: Clock;
+      readonly work: Work;
       readonly router: string;
       readonly dataCentre: string;
       readonly ip: string;
@@ -121,7 +123,9 @@
       log.write('datagram failed', { detail: error.message });
     });
     this.#socket.on('message', (bytes, from) => {
-      this.#receive(bytes, from.address);
+      this.options.work.run('datagrams', () => {
+        this.#receive(bytes, from.address);
+      });
     });
   }
 
@@ -151,6 +155,12 @@
    * `isNews`, idle routers of a large fleet are left out for a while.
    */
   send(isNews: boolean): void {
+    this.options.work.run('datagrams', () => {
+      this.#send(isNews);
+    });
+  }
+
+  #send(isNews: boolean): void {
     const { clock, members, dispatcher, dataCentre } = this.options;
     this.#neighbours = this.#findNeighbours();
     const { mates, isGrouped, representatives } = this.#neighbours;
--- a/packages/gateway/src/lag.ts
+++ b/packages/gateway/src/lag.ts
@@ -14,10 +14,17 @@
 export class Lag {
   #lag: Milliseconds = 0;
 
-  private constructor(private readonly clock: Clock) {}
-
-  static create(clock: Clock): Lag {
-    return new Lag(clock);
+  private constructor(
+    private readonly clock: Clock,
+    private readonly onChange: (isBehind: boolean, late: Milliseconds) => void,
+  ) {}
+
+  /** Calls `onChange` when the router falls behind and when it has caught up. */
+  static create(
+    clock: Clock,
+    onChange: (isBehind: boolean, late: Milliseconds) => void = () => undefined,
+  ): Lag {
+    return new Lag(clock, onChange);
   }
 
   /** Sleeps for `duration` and notes by how much it was longer. */
@@ -29,7 +36,14 @@
 
   /** Takes how much later than due something was done. */
   note(late: Milliseconds): void {
+    const wasBehind = this.isBehind;
     this.#lag = Math.max(late, this.#lag * kept);
+    if (this.isBehind !== wasBehind) this.onChange(this.isBehind, this.#lag);
+  }
+
+  /** How late this process was lately. */
+  get late(): Milliseconds {
+    return this.#lag;
   }
 
   get isBehind(): boolean {
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -1,5 +1,6 @@
 // Counters and histograms of one router in the Prometheus text format.
 
+import type { Activity, WorkTimes } from '@catkinwheel/coordination/routing';
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 
 /** Upper bounds of latency buckets in seconds: from a plain answer to the longest stream. */
@@ -63,6 +64,17 @@
     help: 'Other routers heard lately.',
     registers: [this.registry],
   });
+  readonly late = new Gauge({
+    name: 'catkinwheel_late_seconds',
+    help: 'How much later than due this process did its periodic work lately.',
+    registers: [this.registry],
+  });
+  readonly #work = new Gauge({
+    name: 'catkinwheel_work_seconds',
+    help: 'Time of the event loop since the start, by activity; the rest is relaying and input and output.',
+    labelNames: ['activity'],
+    registers: [this.registry],
+  });
 
   private constructor() {
     // Instances come from `create`.
@@ -71,4 +83,9 @@
   static create(): Metrics {
     return new Metrics();
   }
+
+  setWork(times: WorkTimes): void {
+    for (const [activity, time] of Object.entries(times) as [Activity, number][])
+      this.#work.set({ activity }, time / 1_000);
+  }
 }
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -61,6 +61,8 @@
   readonly isClosing: () => boolean;
   /** Whether new requests are refused because this router has not caught up with those that came before. */
   readonly isBehind: () => boolean;
+  /** How late this router was lately. */
+  readonly late: () => Milliseconds;
   readonly random: () => number;
 }
 
@@ -120,7 +122,10 @@
     const { dispatcher, isClosing, isBehind } = this.parts;
     const { table } = dispatcher;
     const body = await readBody(this.request, table?.state.limits.body ?? Infinity);
-    if (body === 'gone') return;
+    if (body === 'gone') {
+      this.#end('left', 'unread');
+      return;
+    }
     if (body === 'tooLarge') {
       this.#reject(statuses.tooLarge, 'bodyTooLarge');
       return;
@@ -434,7 +439,7 @@
   }
 
   #end(outcome: string, reason?: string, verdict?: Verdict): void {
-    const { clock, log, metrics, dispatcher } = this.parts;
+    const { clock, log, metrics, dispatcher, late } = this.parts;
     metrics.requests.inc({ outcome });
     const route = this.#route;
     const basis = this.#basis;
@@ -455,6 +460,7 @@
       took: Math.round(clock.now() - this.#arrived),
       desired: dispatcher.table?.state.version,
       waiting: dispatcher.waiting,
+      late: Math.round(late()),
       reportAge: rounded(dispatcher.reportAge()),
       basis: basis === undefined ? undefined : roundedBasis(basis),
       attempts: this.#traces,
--- a/packages/standins/src/experiment/emulator.ts
+++ b/packages/standins/src/experiment/emulator.ts
@@ -2,7 +2,13 @@
 // work, callers leave and come back.
 
 import { setMaxListeners } from 'node:events';
-import type { DesiredState, Grant, Route, Server } from '@catkinwheel/coordination/routing';
+import {
+  Work,
+  type DesiredState,
+  type Grant,
+  type Route,
+  type Server,
+} from '@catkinwheel/coordination/routing';
 import { Clock, type ManualClock, type Milliseconds } from '@catkinwheel/state';
 import { randomFrom, type Random } from '../random.js';
 import { Engine, type Run, type RunEnd } from './engine.js';
@@ -110,6 +116,7 @@
   #policy(name: string, dataCentre: string): Policy {
     const policy = this.maker.make({
       clock: this.#clock,
+      work: Work.create(this.#clock),
       self: name,
       dataCentre,
       regionOf: Object.fromEntries(this.scenario.dataCentres.map((centre) => [centre, 'region'])),
