--- a/packages/standins/src/stack/caller.ts
+++ b/packages/standins/src/stack/caller.ts
@@ -26,6 +26,8 @@
   readonly agent?: Agent;
   /** Aborts the request when the caller leaves. */
   readonly signal?: AbortSignal;
+  /** Called when the head of the answer has come. */
+  readonly onHead?: () => void;
 }
 
 /** Sends one request. Never rejects. */
@@ -57,6 +59,7 @@
       (response) => {
         status = response.statusCode ?? 0;
         ({ headers } = response);
+        options.onHead?.();
         response.on('data', (chunk: Buffer) => {
           body += chunk.toString('utf8');
         });
--- /dev/null
+++ b/packages/standins/src/stack/smallVm.ts
@@ -0,0 +1,200 @@
+// A router process on a VM without processor time to spare, and a team whose callers keep to it. The process runs for
+// a part of each period and is stopped for the rest, as by a quota of the processor.
+
+import { createServer, type Server, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { setTimeout as pause } from 'node:timers/promises';
+import type { Milliseconds } from '@catkinwheel/state';
+import { call, type CallResult } from './caller.js';
+import { desiredStateOf, freePorts, modelFields, names } from './fleet.js';
+import { RouterProcess } from './routerProcess.js';
+import { StackStore } from './store.js';
+
+/** The process runs for a part of each of these. */
+const period: Milliseconds = 50;
+/** Events of an answer and the time between them, as the published deployments have them. */
+const events = 30;
+const eventPause: Milliseconds = 20;
+/** Callers leave if their request has not been answered after this time. */
+const patience: Milliseconds = 1_000;
+/** A request may reach a server for so long after its caller has left. */
+const lateAfter: Milliseconds = 500;
+/** Time in which a router that is ready knows its servers. */
+const settleTime: Milliseconds = 500;
+
+/** What became of the requests of a flood. */
+export interface FloodResult {
+  readonly sent: number;
+  /** Requests whose callers have the whole answer. */
+  readonly whole: number;
+  readonly refused: number;
+  /** Requests whose callers left without an answer. */
+  readonly left: number;
+  /** Of these, the ones that reached a server more than half a second after that. */
+  readonly late: number;
+}
+
+/** A router of a small VM, a store and one server. */
+export class SmallVm {
+  readonly #pacing = new AbortController();
+  #sent = 0;
+
+  private constructor(
+    private readonly router: RouterProcess,
+    private readonly store: StackStore,
+    private readonly server: Server,
+    /** When requests reached the server, by id. */
+    private readonly arrivals: ReadonlyMap<string, Milliseconds>,
+  ) {}
+
+  /** Starts all of it; the router has its whole processor until `pace`. */
+  static async start(folder: string): Promise<SmallVm> {
+    const arrivals = new Map<string, Milliseconds>();
+    const server = createServer((request, response) => {
+      const id = String(request.headers['request-id']);
+      arrivals.set(id, performance.now());
+      request.resume();
+      void stream(id, response);
+    });
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+    const store = await StackStore.start();
+    const [link = 0, callers = 0, ready = 0, control = 0, directory = 0] = await freePorts(5);
+    const router = RouterProcess.create('small', {
+      ip: '127.0.0.2',
+      ports: { link, callers, ready, control, directory },
+      dataCentre: 'suva',
+      store: store.address,
+      seeds: [],
+      folder,
+      grace: 4_000,
+    });
+    const made = new SmallVm(router, store, server, arrivals);
+    made.#describe();
+    router.start();
+    await router.ready();
+    await pause(settleTime);
+    return made;
+  }
+
+  /** Leaves the router `share` of its processor from now on. */
+  pace(share: number): void {
+    void this.#pace(share);
+  }
+
+  /** Whole answers a second to `count` callers, each of which asks again when it has its answer. */
+  async capacity(count: number, duration: Milliseconds): Promise<number> {
+    const start = performance.now();
+    let whole = 0;
+    const caller = async (): Promise<void> => {
+      while (performance.now() - start < duration) {
+        const answer = await this.#call(new AbortController().signal);
+        whole += Number(answer.isWhole && answer.status === 200);
+      }
+    };
+    await Promise.all(Array.from({ length: count }, caller));
+    return (1_000 * whole) / (performance.now() - start);
+  }
+
+  /** Sends `rate` requests a second, each on a connection of its own, whatever becomes of those before. */
+  async flood(rate: number, duration: Milliseconds): Promise<FloodResult> {
+    const start = performance.now();
+    const results: Promise<'whole' | 'refused' | 'left' | 'late' | 'failed'>[] = [];
+    while (performance.now() - start < duration) {
+      const due = ((performance.now() - start) * rate) / 1_000;
+      while (results.length < due) results.push(this.#callOrLeave());
+      await pause(1);
+    }
+    const all = await Promise.all(results);
+    const count = (kind: (typeof all)[number]): number =>
+      all.filter((each) => each === kind).length;
+    const late = count('late');
+    const [whole, refused, left] = [count('whole'), count('refused'), count('left') + late];
+    return { sent: all.length, whole, refused, left, late };
+  }
+
+  async close(): Promise<void> {
+    this.#pacing.abort();
+    await this.router.kill();
+    this.server.closeAllConnections();
+    await new Promise((resolve) => this.server.close(resolve));
+    await this.store.close();
+  }
+
+  #describe(): void {
+    const { port } = this.server.address() as AddressInfo;
+    const entry = { service: names.model, address: `127.0.0.1:${port}`, zone: 'suva', slots: 512 };
+    const start = { version: 'v1', state: 'ready', warmupLeftMs: 0, sequence: 1, born: 1 };
+    this.store.put('servers', 'model-1', { ...entry, ...start });
+    const engine = { slots: 512, kvTokens: 5_000_000 };
+    const services = [{ name: names.model, warmupS: 0, coldPerS: 0, engine }];
+    this.store.put('op', 'config', desiredStateOf(1, { services }));
+  }
+
+  async #pace(share: number): Promise<void> {
+    const { signal } = this.#pacing;
+    while (!signal.aborted) {
+      await pause(period * share);
+      this.router.signal('SIGSTOP');
+      await pause(period * (1 - share));
+      this.router.signal('SIGCONT');
+    }
+  }
+
+  async #callOrLeave(): Promise<'whole' | 'refused' | 'left' | 'late' | 'failed'> {
+    const leaving = new AbortController();
+    const id = this.#nextId();
+    let leftAt: Milliseconds | undefined;
+    const timer = setTimeout(() => {
+      leftAt = performance.now();
+      leaving.abort();
+    }, patience);
+    const answer = await this.#call(leaving.signal, id, () => {
+      clearTimeout(timer);
+    });
+    clearTimeout(timer);
+    if (leftAt !== undefined) {
+      // What waits at the router is sent on later, if it is.
+      await pause(watchTime);
+      return (this.arrivals.get(id) ?? 0) > leftAt + lateAfter ? 'late' : 'left';
+    }
+    if (answer.status === 503) return 'refused';
+    return answer.status === 200 && answer.isWhole ? 'whole' : 'failed';
+  }
+
+  #call(signal: AbortSignal, id = this.#nextId(), onHead?: () => void): Promise<CallResult> {
+    return call({
+      address: this.router.callers,
+      path: '/letters/1',
+      host: names.host,
+      id,
+      method: 'POST',
+      key: names.key,
+      body: requestBody,
+      headers: modelFields,
+      signal,
+      ...(onHead === undefined ? {} : { onHead }),
+    });
+  }
+
+  #nextId(): string {
+    this.#sent += 1;
+    return `request-${this.#sent}`;
+  }
+}
+
+/** Time in which a request that is late may still reach a server. */
+const watchTime: Milliseconds = 4_000;
+const requestBody = 'x'.repeat(1_500);
+
+async function stream(id: string, response: ServerResponse): Promise<void> {
+  response.writeHead(200, {
+    'request-id': id,
+    'response-seal': 'seal-model-1',
+    'content-type': 'text/event-stream',
+  });
+  for (let event = 1; event <= events && !response.destroyed; event += 1) {
+    response.write(`id: ${event}\ndata: ${'x'.repeat(40)}\n\n`);
+    await pause(eventPause);
+  }
+  response.end();
+}
