Refuse requests whose connections waited too long to be accepted

A probe, a connection of the router to itself, measures how long new connections wait; above 250 ms their first requests are refused unread.

--- a/packages/coordination/src/routing/index.ts
+++ b/packages/coordination/src/routing/index.ts
@@ -10,6 +10,7 @@
 export * from './loads.js';
 export * from './members.js';
 export * from './model.js';
+export * from './overload.js';
 export * from './placement.js';
 export * from './repeats.js';
 export * from './reports.js';
--- /dev/null
+++ b/packages/coordination/src/routing/overload.ts
@@ -0,0 +1,70 @@
+// Load pattern: the callers of a team keep to one router and open more connections than its VM can serve. They wait in
+// the operating system, and the event loop accepts one in each of its turns: no timer is late and nothing seems to
+// wait, while requests grow older than their callers' patience. Serving those uses up the processor for nothing.
+
+import type { Clock, Milliseconds } from '@catkinwheel/state';
+
+/**
+ * Wait of a connection above which its first request is refused: a quarter of the time after which callers leave a
+ * plain request that was not read, and less than half of the aims of streams.
+ */
+const waitLimit: Milliseconds = 250;
+/** Connections accepted between two probes, so that probes cost little beside what they measure. */
+const connectionsPerProbe = 5;
+
+/** A connection that the router opens to itself behind those that wait. */
+export interface Probe {
+  readonly opened: Milliseconds;
+}
+
+/** How long new connections wait until they are accepted, measured by probes. */
+export class AcceptQueue {
+  #probe: Probe | undefined;
+  /** Wait of the last probe that was accepted. */
+  #wait: Milliseconds = 0;
+  #accepted = 0;
+
+  private constructor(private readonly clock: Clock) {}
+
+  static create(clock: Clock): AcceptQueue {
+    return new AcceptQueue(clock);
+  }
+
+  /** Counts a connection of a caller that was accepted. */
+  accepted(): void {
+    this.#accepted += 1;
+  }
+
+  /** The probe to be opened now, if one is due. Exactly one of `reached` and `failed` is due for it. */
+  nextProbe(): Probe | undefined {
+    const isDue = this.#accepted >= connectionsPerProbe || isTooOld(this.#wait);
+    if (this.#probe !== undefined || !isDue) return undefined;
+    this.#accepted = 0;
+    this.#probe = { opened: this.clock.now() };
+    return this.#probe;
+  }
+
+  /** The probe was accepted. */
+  reached(): void {
+    if (this.#probe === undefined) return;
+    this.#wait = this.clock.now() - this.#probe.opened;
+    this.#probe = undefined;
+  }
+
+  /** The probe could not be opened; nothing is known of the queue until the next one. */
+  failed(): void {
+    this.#wait = 0;
+    this.#probe = undefined;
+  }
+
+  /** What a connection that is accepted now has probably waited: at least the age of a probe that still waits. */
+  get wait(): Milliseconds {
+    const age = this.#probe === undefined ? 0 : this.clock.now() - this.#probe.opened;
+    return Math.max(this.#wait, age);
+  }
+}
+
+/** Whether the first request of a connection that waited for so long is refused. */
+export function isTooOld(wait: Milliseconds): boolean {
+  return wait > waitLimit;
+}
--- /dev/null
+++ b/packages/gateway/src/acceptProbe.ts
@@ -0,0 +1,52 @@
+// Connections of the router to its own listener, which measure how long those of callers wait to be accepted.
+
+import { connect, type AddressInfo, type Server, type Socket } from 'node:net';
+import type { AcceptQueue } from '@catkinwheel/coordination/routing';
+import type { Log } from './log.js';
+
+/** Opens probes behind the connections that wait at a listener, and tells them from callers. */
+export class AcceptProbe {
+  #socket: Socket | undefined;
+
+  private constructor(
+    private readonly server: Server,
+    private readonly queue: AcceptQueue,
+    private readonly log: Log,
+  ) {}
+
+  static create(server: Server, queue: AcceptQueue, log: Log): AcceptProbe {
+    return new AcceptProbe(server, queue, log);
+  }
+
+  /** Takes a connection that was accepted; returns whether it is a caller's. */
+  take(socket: Socket): boolean {
+    const isProbe = socket.remotePort === this.#socket?.localPort;
+    if (isProbe) {
+      this.queue.reached();
+      this.#close();
+      socket.destroy();
+    } else {
+      this.queue.accepted();
+    }
+    this.#open();
+    return !isProbe;
+  }
+
+  #open(): void {
+    if (!this.server.listening || this.queue.nextProbe() === undefined) return;
+    const { address, port } = this.server.address() as AddressInfo;
+    const socket = connect({ host: address, port });
+    socket.on('error', (error) => {
+      if (this.#socket !== socket) return;
+      this.log.write('probe failed', { detail: error.message });
+      this.queue.failed();
+      this.#close();
+    });
+    this.#socket = socket;
+  }
+
+  #close(): void {
+    this.#socket?.destroy();
+    this.#socket = undefined;
+  }
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -231,6 +231,7 @@
     this.#toldWork = { at: this.#clock.now(), times };
     this.#log.write(event, {
       late: Math.round(late),
+      acceptWait: Math.round(this.#ingress.acceptWait),
       used: Number(this.#usage.cores().toFixed(3)),
       capacity: this.settings.capacity,
       underWay: this.#ingress.underWay,
--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/ingress.ts
@@ -1,8 +1,11 @@
-// The listener for callers' requests.
+// The listener for callers' requests. A request whose connection has waited for too long to be accepted is refused before
+// anything is done for it, which costs a small part of serving it.
 
-import { createServer, type Server } from 'node:http';
-import type { CallerLimits } from '@catkinwheel/coordination/routing';
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+import { AcceptQueue, isTooOld, type CallerLimits } from '@catkinwheel/coordination/routing';
 import type { Milliseconds } from '@catkinwheel/state';
+import { AcceptProbe } from './acceptProbe.js';
 import { Relay, type RelayParts } from './relay.js';
 
 /** How often connections are checked for the time-outs of their headers. */
@@ -15,6 +18,9 @@
 /** Callers' requests, each served by a relay. */
 export class Ingress {
   readonly #server: Server;
+  readonly #queue: AcceptQueue;
+  /** Connections that have waited for too long, until their first request. */
+  readonly #old = new WeakMap<Socket, Milliseconds>();
   #underWay = 0;
   #lastEnd: Milliseconds;
 
@@ -26,18 +32,15 @@
     this.#server = createServer(
       { connectionsCheckingInterval: checkInterval, maxHeaderSize: headerBytes, requestTimeout: 0 },
       (request, response) => {
-        this.#underWay += 1;
-        parts.metrics.underWay.inc();
-        if (isStopping()) response.setHeader('connection', 'close');
-        void Relay.create(parts, request, response)
-          .run()
-          .then(() => {
-            this.#underWay -= 1;
-            this.#lastEnd = parts.clock.now();
-            parts.metrics.underWay.dec();
-          });
+        this.#serve(request, response, isStopping());
       },
     );
+    this.#queue = AcceptQueue.create(parts.clock);
+    const probe = AcceptProbe.create(this.#server, this.#queue, parts.log);
+    this.#server.on('connection', (socket) => {
+      const { wait } = this.#queue;
+      if (probe.take(socket) && isTooOld(wait)) this.#old.set(socket, wait);
+    });
   }
 
   static create(parts: RelayParts, isStopping: () => boolean): Ingress {
@@ -61,6 +64,11 @@
     this.#server.headersTimeout = limits.headerTimeout;
   }
 
+  /** How long a connection that is accepted now has probably waited. */
+  get acceptWait(): Milliseconds {
+    return this.#queue.wait;
+  }
+
   /** Requests that have arrived and not ended. */
   get underWay(): number {
     return this.#underWay;
@@ -71,6 +79,25 @@
     return this.#underWay > 0 ? 0 : this.parts.clock.now() - this.#lastEnd;
   }
 
+  #serve(request: IncomingMessage, response: ServerResponse, isStopping: boolean): void {
+    const { parts } = this;
+    if (isStopping) response.setHeader('connection', 'close');
+    const relay = Relay.create(parts, request, response);
+    const wait = this.#old.get(request.socket);
+    if (wait !== undefined) {
+      this.#old.delete(request.socket);
+      relay.refuseOld(wait);
+      return;
+    }
+    this.#underWay += 1;
+    parts.metrics.underWay.inc();
+    void relay.run().then(() => {
+      this.#underWay -= 1;
+      this.#lastEnd = parts.clock.now();
+      parts.metrics.underWay.dec();
+    });
+  }
+
   /** Stops listening and closes idle connections. */
   close(): void {
     this.#server.close();
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -79,6 +79,7 @@
   #deadlineTimer: NodeJS.Timeout | undefined;
   #lastEvent: string | undefined;
   #firstByte: Milliseconds | undefined;
+  #acceptWait: Milliseconds | undefined;
   #route: Route | undefined;
   #team: Team | undefined;
   #basis: Basis | undefined;
@@ -98,6 +99,12 @@
     return new Relay(parts, request, response);
   }
 
+  /** Refuses the request unread, since its connection waited for too long to be accepted. */
+  refuseOld(wait: Milliseconds): void {
+    this.#acceptWait = wait;
+    this.#refuse('behind', behindRetry);
+  }
+
   /** Serves the request to its end. Never rejects. */
   async run(): Promise<void> {
     const { response, request } = this;
@@ -461,6 +468,7 @@
       desired: dispatcher.table?.state.version,
       waiting: dispatcher.waiting,
       late: Math.round(late()),
+      acceptWait: rounded(this.#acceptWait),
       reportAge: rounded(dispatcher.reportAge()),
       basis: basis === undefined ? undefined : roundedBasis(basis),
       attempts: this.#traces,
