Tell idle routers of a large fleet three times before they count as silent

What operators saw: 2,500 to 5,500 lines "router heard" a second in an idle fleet of 77, members and store readers that change all the time. Cause: idle routers told idle mates in every third round of 0.5 s, which is the time after which a router counts as silent. The round in which idle mates are told is now chosen by the time since the last one.

--- a/packages/coordination/src/routing/groups.test.ts
+++ b/packages/coordination/src/routing/groups.test.ts
@@ -4,8 +4,15 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { Clock, type ManualClock } from '@catkinwheel/state';
-import { isCalled, isCounted, neighboursOf, type Neighbours } from './groups.js';
-import { Members, type Member } from './members.js';
+import {
+  isCalled,
+  isCounted,
+  isIdleRound,
+  neighboursOf,
+  roundInterval,
+  type Neighbours,
+} from './groups.js';
+import { Members, silenceLimit, type Member } from './members.js';
 import { Reports, type Report, type Reporter } from './reports.js';
 
 const interval = 170;
@@ -146,3 +153,27 @@
   const { mates, isGrouped } = neighboursOf(member('a'), others, 8);
   assert.deepEqual([mates, isGrouped], [others, false]);
 });
+
+// Guards against members that flap: idle routers told one another every 1.5 s, just when they began to count as silent.
+test('a router of a large fleet hears its mates three times before they count as silent, idle or not', () => {
+  const mates = Array.from({ length: 20 }, (_, index): Member => {
+    const state = { isLeaving: false, capacity: 0.3, used: 0, isIdle: true, storeAge: 0 };
+    return { name: `r${index}`, ip: `r${index}`, dataCentre: 'a', ...state };
+  });
+  const self = { name: 'z', dataCentre: 'a', isLeaving: false, capacity: 0.3 };
+  const neighbours = neighboursOf(self, mates, 77);
+  for (const isIdle of [true, false]) {
+    const interval = roundInterval(neighbours, isIdle);
+    let [now, last, longest] = [0, 0, 0];
+    for (let round = 0; round < 100; round += 1) {
+      now += interval;
+      if (!isIdleRound(now - last, interval)) continue;
+      longest = Math.max(longest, now - last);
+      last = now;
+    }
+    assert.ok(
+      3 * longest <= silenceLimit + interval,
+      `told every ${longest} ms, idle ${String(isIdle)}`,
+    );
+  }
+});
--- a/packages/coordination/src/routing/groups.ts
+++ b/packages/coordination/src/routing/groups.ts
@@ -3,12 +3,22 @@
 // and one of them tells the sum to one router of each other data centre, which hands it on there.
 
 import type { Milliseconds } from '@catkinwheel/state';
-import type { Member } from './members.js';
+import { silenceLimit, type Member } from './members.js';
 import type { Reporter } from './reports.js';
 
 /** Up to so many routers each tells each, ten times a second for some 120 datagrams. */
 const meshSize = 16;
 
+/** Time between two datagrams to a router in a small fleet. */
+const shortestInterval: Milliseconds = 100;
+/** Datagrams that a router sends a second at most, all receivers together. */
+const sendRate = 120;
+/**
+ * Time between two datagrams from or to an idle router of a large fleet, which has nothing to tell or decide. Two may
+ * be lost before it counts as silent.
+ */
+const idleInterval: Milliseconds = silenceLimit / 3;
+
 /** A router answers silent ones rarely: they may have been removed for good. */
 const silentInterval: Milliseconds = 3_000;
 /**
@@ -67,6 +77,21 @@
   return a.capacity === b.capacity ? a.name < b.name : a.capacity > b.capacity;
 }
 
+/** Time between two rounds in which a router with these neighbours sends; `isIdle` if it has no request. */
+export function roundInterval(neighbours: Neighbours, isIdle: boolean): Milliseconds {
+  const { mates, isGrouped, representatives } = neighbours;
+  const busy = Math.max(shortestInterval, (1_000 * mates.length) / sendRate);
+  return isGrouped && representatives === undefined && isIdle ? idleInterval : busy;
+}
+
+/**
+ * Whether idle routers of a large fleet are told in a round as well, `since` their last one; rounds come every
+ * `interval`. A round that is a little early counts, since the next one would be too late.
+ */
+export function isIdleRound(since: Milliseconds, interval: Milliseconds): boolean {
+  return since + interval / 2 >= idleInterval;
+}
+
 /** Whether a router with these neighbours tries to reach a silent one; `isOwnGroup` if it may be a mate. */
 export function isCalled({ isGrouped, representatives }: Neighbours, isOwnGroup: boolean): boolean {
   return !isGrouped || representatives !== undefined || isOwnGroup;
--- a/packages/coordination/src/routing/members.ts
+++ b/packages/coordination/src/routing/members.ts
@@ -21,7 +21,7 @@
 }
 
 /** A silent router is not named to callers after this time; a frozen VM often wakes within it. */
-const silenceLimit: Milliseconds = 1_500;
+export const silenceLimit: Milliseconds = 1_500;
 /** A silent router counts for shares of budgets for this long, since it may be cut off and running. */
 const forgetTime: Milliseconds = 60_000;
 /** Routers that read the store for all. Three survive the loss of a VM and of a data centre. */
--- a/packages/gateway/src/gossip.ts
+++ b/packages/gateway/src/gossip.ts
@@ -5,7 +5,9 @@
 import {
   isCalled,
   isCounted,
+  isIdleRound,
   neighboursOf,
+  roundInterval,
   type Dispatcher,
   type Load,
   type Member,
@@ -20,15 +22,6 @@
 import { tableNames, type Knowledge } from './knowledge.js';
 import type { Log } from './log.js';
 
-/** Time between two datagrams to a router in a small fleet. */
-const shortestInterval: Milliseconds = 100;
-/** The same for a router of a large fleet that has no request; a third of the time after which it counts as silent. */
-const idleInterval: Milliseconds = 500;
-/** Idle routers are told in one of so many rounds: every half second, well before the sender counts as silent. */
-const idleRounds = 3;
-/** Datagrams that a router sends a second at most, all receivers together. */
-const sendRate = 120;
-
 /** Server, unread tokens, requests, tokens of memory. */
 const loadCodec = tuple([string, number, number, number]);
 
@@ -77,8 +70,9 @@
   #lastToSilent: Milliseconds = -Infinity;
   #neighbours: Neighbours;
   #isIdle = true;
-  /** Number of the present round of sending. */
-  #round = 0;
+  /** Whether idle routers are told in the present round. */
+  #tellsIdle = true;
+  #lastIdleRound: Milliseconds = -Infinity;
 
   private constructor(
     private readonly options: {
@@ -132,13 +126,10 @@
   async run(signal: AbortSignal): Promise<void> {
     const { clock } = this.options;
     while (!signal.aborted) {
-      this.#round += 1;
+      const interval = roundInterval(this.#neighbours, this.#isIdle);
+      this.#tellsIdle = isIdleRound(clock.now() - this.#lastIdleRound, interval);
+      if (this.#tellsIdle) this.#lastIdleRound = clock.now();
       this.send(false);
-      const { mates, isGrouped, representatives } = this.#neighbours;
-      const busy = Math.max(shortestInterval, (1_000 * mates.length) / sendRate);
-      // In a large fleet most routers have nothing to tell at a time.
-      const isIdle = isGrouped && representatives === undefined && this.#isIdle;
-      const interval = isIdle ? idleInterval : busy;
       await clock.sleep(interval, signal);
     }
     this.#socket.close();
@@ -185,7 +176,7 @@
   /** Whether the router is told again in this round: idle ones of a large fleet are told less often. */
   #isDue({ isIdle }: Member): boolean {
     if (!this.#neighbours.isGrouped || !isIdle) return true;
-    return this.#round % idleRounds === 0;
+    return this.#tellsIdle;
   }
 
   #sendTo(ip: string, bytes: Buffer): void {
