Keep callers away from routers that are saturated

Callers that can choose shared a router with the flood of a team that keeps to it. The directory leaves out routers that use 0.9 of their VM while others have room.

--- a/packages/coordination/src/routing/entrances.test.ts
+++ b/packages/coordination/src/routing/entrances.test.ts
@@ -35,3 +35,12 @@
   assert.equal(entrancesOf(fleet).length, 57);
   assert.equal(entrancesOf(routers(55, 0.324, 0)).length, 55);
 });
+
+// Guards against callers that could go elsewhere and share a router with the flood of a team that keeps to it.
+test('callers are kept away from a router that a team saturates, and not from all of them', () => {
+  const large = routers(6, 1.35, 0.3);
+  const saturated = { name: 'flooded', capacity: 1.35, used: 1.3 };
+  assert.deepEqual(entrancesOf([saturated, ...large, ...routers(55, 0.324, 0.01)]), large);
+  const all = routers(8, 0.675, 0.67);
+  assert.deepEqual(entrancesOf(all), all);
+});
--- a/packages/coordination/src/routing/entrances.ts
+++ b/packages/coordination/src/routing/entrances.ts
@@ -1,7 +1,7 @@
 // Load pattern: VMs of very different sizes, and a team whose callers keep to one router. A small VM is
 // saturated by a few hundred requests a second: its event loop falls seconds behind, requests are sent on
 // after their callers have left, and what it tells others is old. Callers are sent to the largest VMs, and to
-// smaller ones only as far as they are needed.
+// smaller ones only as far as they are needed; whoever can choose is kept away from a router that is saturated.
 
 /** A router to which callers may be sent. */
 export interface Entrance {
@@ -17,14 +17,19 @@
 /** Cores that are offered for each core in use, so that bursts and the loss of a third of them find room. */
 const headroom = 2.5;
 
+/** A router that uses this part of its VM has no processor time to spare; measured use never reaches the whole. */
+const saturation = 0.9;
+
 /**
- * The routers to which callers are sent. Routers of one size are all taken or left, so that all that know the
- * same sizes agree.
+ * The routers to which callers are sent; saturated ones only if all are. Routers of one size are all taken or left,
+ * so that all that know the same sizes agree.
  */
 export function entrancesOf<Each extends Entrance>(routers: readonly Each[]): readonly Each[] {
-  const used = routers.reduce((sum, router) => sum + router.used, 0);
+  const free = routers.filter((router) => router.used < saturation * router.capacity);
+  const choice = free.length > 0 ? free : routers;
+  const used = choice.reduce((sum, router) => sum + router.used, 0);
   const wanted = Math.max(leastCapacity, headroom * used);
-  const bySize = [...routers].sort((a, b) => b.capacity - a.capacity);
+  const bySize = [...choice].sort((a, b) => b.capacity - a.capacity);
   let offered = 0;
   let smallest = 0;
   for (const { capacity } of bySize) {
