--- a/packages/standins/src/stack/server.ts
+++ b/packages/standins/src/stack/server.ts
@@ -224,7 +224,14 @@
       case 'answers':
       case 'cuts':
         break;
-      default:
+      case 'endlessNoise':
+      case 'endlessHead':
+      case 'endlessInterim':
+      case 'endlessRefusal':
+      case 'endlessFailure':
+      case 'endlessExtension':
+      case 'endlessEvent':
+      case 'endlessTrailer':
         await this.#pour(behaviour, id, request.socket);
         return;
     }
