--- a/packages/coordination/src/routing/overload.test.ts
+++ b/packages/coordination/src/routing/overload.test.ts
@@ -43,7 +43,14 @@
     const isOld = isTooOld(queue.wait);
     if (next === 'probe') queue.reached();
     else queue.accepted();
-    if (queue.nextProbe() !== undefined) waiting.push('probe');
+    if (queue.takeProbe()) {
+      if (waiting.length < backlog) {
+        queue.queued();
+        waiting.push('probe');
+      } else {
+        queue.failed();
+      }
+    }
     if (next === 'probe') continue;
     if (refuses && isOld) {
       refused += 1;
@@ -103,24 +110,41 @@
   const clock = Clock.manual();
   const queue = AcceptQueue.create(clock);
   for (let index = 0; index < 5; index += 1) queue.accepted();
-  assert.ok(queue.nextProbe() !== undefined);
-  assert.equal(queue.nextProbe(), undefined);
+  assert.ok(queue.takeProbe());
+  assert.ok(!queue.takeProbe());
+  queue.queued();
   await clock.advance(700);
   assert.ok(isTooOld(queue.wait));
   queue.failed();
   assert.equal(queue.wait, 0);
 });
 
-test('a router that was overloaded probes at once, so that it serves again as soon as the queue is short', async () => {
+// Guards against taking the time until a full queue has room for a probe as the wait of connections in it.
+test('the time before a probe waits in the queue does not count', async () => {
   const clock = Clock.manual();
   const queue = AcceptQueue.create(clock);
   for (let index = 0; index < 5; index += 1) queue.accepted();
-  queue.nextProbe();
-  await clock.advance(700);
-  queue.reached();
-  assert.ok(isTooOld(queue.wait));
-  assert.ok(queue.nextProbe() !== undefined);
-  await clock.advance(20);
+  assert.ok(queue.takeProbe());
+  await clock.advance(2_000);
+  assert.equal(queue.wait, 0);
+  queue.queued();
+  await clock.advance(100);
   queue.reached();
-  assert.ok(!isTooOld(queue.wait));
+  assert.equal(queue.wait, 100);
+});
+
+test('a router that was overloaded probes at once, so that it serves again as soon as the queue is short', async () => {
+  const clock = Clock.manual();
+  const queue = AcceptQueue.create(clock);
+  for (let index = 0; index < 5; index += 1) queue.accepted();
+  for (const [wait, tooOld] of [
+    [700, true],
+    [20, false],
+  ] as const) {
+    assert.ok(queue.takeProbe());
+    queue.queued();
+    await clock.advance(wait);
+    queue.reached();
+    assert.equal(isTooOld(queue.wait), tooOld);
+  }
 });
--- a/packages/coordination/src/routing/overload.ts
+++ b/packages/coordination/src/routing/overload.ts
@@ -30,9 +30,9 @@
 }
 
 /** A connection that the router opens to itself behind those that wait. */
-export interface Probe {
-  readonly opened: Milliseconds;
-}
+type Probe =
+  /** It is not among those that wait yet; a full queue does not take it. */
+  { readonly kind: 'opening' } | { readonly kind: 'waiting'; readonly since: Milliseconds };
 
 /** How long new connections wait until they are accepted, measured by probes. */
 export class AcceptQueue {
@@ -52,23 +52,27 @@
     this.#accepted += 1;
   }
 
-  /** The probe to be opened now, if one is due. Exactly one of `reached` and `failed` is due for it. */
-  nextProbe(): Probe | undefined {
+  /** Whether a probe is to be opened now. If so, `reached` or `failed` is due, and `queued` before `reached`. */
+  takeProbe(): boolean {
     const isDue = this.#accepted >= connectionsPerProbe || isTooOld(this.#wait);
-    if (this.#probe !== undefined || !isDue) return undefined;
+    if (this.#probe !== undefined || !isDue) return false;
     this.#accepted = 0;
-    this.#probe = { opened: this.clock.now() };
-    return this.#probe;
+    this.#probe = { kind: 'opening' };
+    return true;
+  }
+
+  /** The probe waits to be accepted. */
+  queued(): void {
+    this.#probe = { kind: 'waiting', since: this.clock.now() };
   }
 
   /** The probe was accepted. */
   reached(): void {
-    if (this.#probe === undefined) return;
-    this.#wait = this.clock.now() - this.#probe.opened;
+    this.#wait = this.#probeAge();
     this.#probe = undefined;
   }
 
-  /** The probe could not be opened; nothing is known of the queue until the next one. */
+  /** The probe was turned away; nothing is known of the queue until the next one. */
   failed(): void {
     this.#wait = 0;
     this.#probe = undefined;
@@ -76,8 +80,11 @@
 
   /** What a connection that is accepted now has probably waited: at least the age of a probe that still waits. */
   get wait(): Milliseconds {
-    const age = this.#probe === undefined ? 0 : this.clock.now() - this.#probe.opened;
-    return Math.max(this.#wait, age);
+    return Math.max(this.#wait, this.#probeAge());
+  }
+
+  #probeAge(): Milliseconds {
+    return this.#probe?.kind === 'waiting' ? this.clock.now() - this.#probe.since : 0;
   }
 }
 
--- a/packages/gateway/src/acceptProbe.ts
+++ b/packages/gateway/src/acceptProbe.ts
@@ -2,8 +2,12 @@
 
 import { connect, type AddressInfo, type Server, type Socket } from 'node:net';
 import type { AcceptQueue } from '@catkinwheel/coordination/routing';
+import type { Milliseconds } from '@catkinwheel/state';
 import type { Log } from './log.js';
 
+/** A probe that the queue has not taken by then was turned away; it would be tried again after a second or more. */
+const openTime: Milliseconds = 200;
+
 /** Opens probes behind the connections that wait at a listener, and tells them from callers. */
 export class AcceptProbe {
   #socket: Socket | undefined;
@@ -20,7 +24,9 @@
 
   /** Takes a connection that was accepted; returns whether it is a caller's. */
   take(socket: Socket): boolean {
-    const isProbe = socket.remotePort === this.#socket?.localPort;
+    // The port is unknown if the caller has gone already.
+    const { remotePort } = socket;
+    const isProbe = remotePort !== undefined && remotePort === this.#socket?.localPort;
     if (isProbe) {
       this.queue.reached();
       this.#close();
@@ -33,9 +39,18 @@
   }
 
   #open(): void {
-    if (!this.server.listening || this.queue.nextProbe() === undefined) return;
+    if (!this.server.listening || !this.queue.takeProbe()) return;
     const { address, port } = this.server.address() as AddressInfo;
-    const socket = connect({ host: address, port });
+    const socket = connect({ host: address, port, timeout: openTime });
+    socket.on('connect', () => {
+      socket.setTimeout(0);
+      if (this.#socket === socket) this.queue.queued();
+    });
+    socket.on('timeout', () => {
+      if (this.#socket !== socket) return;
+      this.queue.failed();
+      this.#close();
+    });
     socket.on('error', (error) => {
       if (this.#socket !== socket) return;
       this.log.write('probe failed', { detail: error.message });
