Give up answers whose bytes go on without end

Servers in trouble may send bytes that are no answer until the router closes. At most 16 interim answers are taken, an event has at most 64 KB, and of an answer that is not handed on 16 KB or 0.2 s are read before its connection is closed. The extension of a chunk without end still looks like silence and lasts until the silence limit or the deadline; its bytes are not kept.

--- a/packages/gateway/src/eventStream.ts
+++ b/packages/gateway/src/eventStream.ts
@@ -4,6 +4,9 @@
 /** An event ends with an empty line. */
 const eventEnd = Buffer.from('\n\n');
 
+/** Longest event in bytes; those of the published deployments have some hundred. */
+const eventLimit = 64 * 1024;
+
 /** Whole events and the id of the last one. */
 export interface Events {
   readonly bytes: Buffer;
@@ -23,11 +26,15 @@
     return new EventStream();
   }
 
-  /** Takes bytes of the stream; returns the events that are whole now, undefined if there are none. */
-  push(bytes: Uint8Array): Events | undefined {
+  /**
+   * Takes bytes of the stream; returns the events that are whole now, undefined if there are none, and `tooLong` if
+   * an event has no end within its limit.
+   */
+  push(bytes: Uint8Array): Events | 'tooLong' | undefined {
     const all = this.#rest.length === 0 ? Buffer.from(bytes) : Buffer.concat([this.#rest, bytes]);
     const end = all.lastIndexOf(eventEnd);
     if (end < 0) {
+      if (all.length > eventLimit) return 'tooLong';
       this.#rest = all;
       return undefined;
     }
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -32,6 +32,9 @@
 const eventSilence: Milliseconds = 1_300;
 /** A first event, or an answer, that may be asked for again elsewhere, is after this much more than predicted. */
 const firstSilence: Milliseconds = 1_500;
+/** The rest of an answer that is not handed on is read for so long and so far, so that its connection can be kept. */
+const discardTime: Milliseconds = 200;
+const discardLimit = 16 * 1024;
 /** Servers that could not be reached count no attempt, but only so many are tried. */
 const mostTries = 6;
 /** A caller that is refused while routers start or stop finds another one at once. */
@@ -271,7 +274,14 @@
       }
       expectBytes(eventSilence);
     };
-    const attempt = await this.#relay(route, grant, outgoing, signal, mayRepeat, onProgress);
+    const onDiscard = (): void => {
+      clearTimeout(watch);
+      watch = setTimeout(() => {
+        silence.abort('silence');
+      }, discardTime);
+    };
+    const on = { progress: onProgress, discard: onDiscard };
+    const attempt = await this.#relay(route, grant, outgoing, signal, mayRepeat, on);
     clearTimeout(watch);
     const ended = attempt.kind === 'ended' && attempt.cause === 'silence';
     if (ended) connections.retire(server.id);
@@ -295,7 +305,7 @@
     outgoing: Parameters<ServerConnections['send']>[2],
     signal: AbortSignal,
     mayRepeat: boolean,
-    onProgress: () => void,
+    on: { readonly progress: () => void; readonly discard: () => void },
   ): Promise<Attempt> {
     const { connections } = this.parts;
     const { id, address } = grant.server;
@@ -303,6 +313,7 @@
     const events = isStream && route.canResume ? EventStream.create() : undefined;
     let head: Head | undefined;
     let discard: Attempt | undefined;
+    let discarded = 0;
     for await (const piece of connections.send(id, address, outgoing, signal)) {
       switch (piece.kind) {
         case 'head': {
@@ -311,16 +322,28 @@
             // The connection has answers in it that are not ours.
             return { kind: 'failed', detail: 'answer belongs to another request' };
           }
-          if (checked !== undefined) discard = checked;
           head = piece;
-          if (!isStream) onProgress();
+          if (!isStream) on.progress();
+          if (checked !== undefined) {
+            discard = checked;
+            on.discard();
+          }
           break;
         }
         case 'bytes': {
-          if (discard !== undefined || head === undefined) break;
-          onProgress();
+          if (discard !== undefined) {
+            discarded += piece.bytes.length;
+            if (discarded > discardLimit) return discard;
+            break;
+          }
+          if (head === undefined) break;
+          on.progress();
           const whole = events === undefined ? piece : events.push(piece.bytes);
           if (whole === undefined) break;
+          if (whole === 'tooLong') {
+            const detail = 'an event without end';
+            return this.#answer.isOpen ? { kind: 'cut', detail } : { kind: 'failed', detail };
+          }
           this.#open(head);
           if ('lastId' in whole && whole.lastId !== undefined) this.#lastEvent = whole.lastId;
           await this.#answer.write(whole.bytes);
--- a/packages/standins/src/stack/routerProcess.ts
+++ b/packages/standins/src/stack/routerProcess.ts
@@ -1,7 +1,7 @@
 // A router of the platform deployment as a process of its own, which can be killed, frozen and stopped.
 
 import { spawn, type ChildProcess } from 'node:child_process';
-import { createWriteStream, mkdirSync, writeFileSync } from 'node:fs';
+import { createWriteStream, mkdirSync, readFileSync, writeFileSync } from 'node:fs';
 import { createRequire } from 'node:module';
 import { dirname, join } from 'node:path';
 import { setTimeout as pause } from 'node:timers/promises';
@@ -135,6 +135,14 @@
     return this.#exited;
   }
 
+  /** Memory that the process has in use, in bytes; NaN if it does not run. */
+  memory(): number {
+    const { pid } = this.#child ?? {};
+    if (pid === undefined) return NaN;
+    const resident = /^VmRSS:\s+(\d+) kB$/m.exec(readFileSync(`/proc/${pid}/status`, 'utf8'));
+    return Number(resident?.[1]) * 1_024;
+  }
+
   signal(name: 'SIGSTOP' | 'SIGCONT' | 'SIGHUP'): void {
     this.#child?.kill(name);
   }
--- a/packages/transport/src/exchange.ts
+++ b/packages/transport/src/exchange.ts
@@ -11,6 +11,8 @@
 
 /** Bytes that wait for their reader before the connection is paused. */
 const highWater = 64 * 1024;
+/** Interim answers before the final one; more of them are no answer. */
+const interimLimit = 16;
 /** Longest event of a stream in characters. */
 const eventLimit = 1024 * 1024;
 
@@ -33,6 +35,7 @@
   #decoder: StringDecoder | undefined;
   #events: string[] = [];
   #queuedBytes = 0;
+  #interims = 0;
   #mayHaveLeft = false;
   #isOver = false;
 
@@ -91,7 +94,13 @@
   }
 
   onResponseStart(_: Dispatcher.DispatchController, status: number, headers: Headers): void {
-    if (status < 200 || this.#isOver) return;
+    if (this.#isOver) return;
+    if (status < 200) {
+      this.#interims += 1;
+      if (this.#interims > interimLimit)
+        this.#end(mayHaveRun('truncatedAnswer', 'interim answers without end'));
+      return;
+    }
     const isEmpty = this.#isHeadRequest || status === 204 || status === 304;
     const isFramed =
       headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
