--- a/packages/gateway/src/callerResponse.ts
+++ b/packages/gateway/src/callerResponse.ts
@@ -34,7 +34,8 @@
 
   /** Hands bytes on; resolves when the caller has room for more, or has left. */
   async write(bytes: Uint8Array): Promise<void> {
-    if (this.response.write(bytes)) return;
+    // A response that is closed never drains, and does not close again.
+    if (this.response.destroyed || this.response.write(bytes)) return;
     await new Promise<void>((resolve) => {
       const done = (): void => {
         this.response.off('drain', done);
