--- a/packages/gateway/src/keptPartsReader.ts
+++ b/packages/gateway/src/keptPartsReader.ts
@@ -12,6 +12,8 @@
 const settleTime: Milliseconds = 400;
 /** Servers answer after the step that they are in. */
 const answerTime: Milliseconds = 1_000;
+/** Largest list in bytes; the largest caches of the published deployments hold some thousand parts of 50 bytes. */
+const listLimit = 2 * 1024 * 1024;
 /** How often a router looks whether servers are known by now. */
 const lookInterval: Milliseconds = 100;
 /** A router that asks later would only learn what it knows from its own requests. */
@@ -51,7 +53,7 @@
 
   async #read(server: string, address: string): Promise<void> {
     const { dispatcher, log } = this.options;
-    const agent = new Agent({ connect: { timeout: answerTime } });
+    const agent = new Agent({ connect: { timeout: answerTime }, maxResponseSize: listLimit });
     try {
       const { statusCode, body } = await agent.request({
         origin: `http://${address}`,
@@ -59,8 +61,8 @@
         method: 'GET',
         signal: AbortSignal.timeout(answerTime),
       });
-      const json = await body.json();
       if (statusCode !== 200) throw new Error(`status ${statusCode}`);
+      const json = await body.json();
       decodeKeptParts(server, json).match(
         (parts) => {
           dispatcher.learn(parts);
