Give up a probe that the queue of connections has forgotten

A full queue may forget a connection whose opener believes that it is open; a probe of that kind seemed to wait for ever. It is given up when as many connections as the queue holds have been accepted after it, or after 4 s.

--- a/packages/coordination/src/routing/overload.test.ts
+++ b/packages/coordination/src/routing/overload.test.ts
@@ -26,7 +26,7 @@
 async function play(rate: number, backlog: number, refuses: boolean): Promise<Outcome> {
   const clock = Clock.manual(1_000);
   const start = clock.now();
-  const queue = AcceptQueue.create(clock);
+  const queue = AcceptQueue.create(clock, backlog);
   const waiting: (Milliseconds | 'probe')[] = [];
   let arrived = 0;
   let [served, refused, turnedAway, left, longestWait] = [0, 0, 0, 0, 0];
@@ -108,7 +108,7 @@
 
 test('a probe that waits tells the wait before it is accepted, and one that fails tells nothing', async () => {
   const clock = Clock.manual();
-  const queue = AcceptQueue.create(clock);
+  const queue = AcceptQueue.create(clock, 20);
   for (let index = 0; index < 5; index += 1) queue.accepted();
   assert.ok(queue.takeProbe());
   assert.ok(!queue.takeProbe());
@@ -122,7 +122,7 @@
 // Guards against taking the time until a full queue has room for a probe as the wait of connections in it.
 test('the time before a probe waits in the queue does not count', async () => {
   const clock = Clock.manual();
-  const queue = AcceptQueue.create(clock);
+  const queue = AcceptQueue.create(clock, 20);
   for (let index = 0; index < 5; index += 1) queue.accepted();
   assert.ok(queue.takeProbe());
   await clock.advance(2_000);
@@ -135,7 +135,7 @@
 
 test('a router that was overloaded probes at once, so that it serves again as soon as the queue is short', async () => {
   const clock = Clock.manual();
-  const queue = AcceptQueue.create(clock);
+  const queue = AcceptQueue.create(clock, 20);
   for (let index = 0; index < 5; index += 1) queue.accepted();
   for (const [wait, tooOld] of [
     [700, true],
@@ -148,3 +148,20 @@
     assert.equal(isTooOld(queue.wait), tooOld);
   }
 });
+
+// Guards against refusing everything for ever: a full queue forgot the probe, which seemed to wait on and on.
+test('a probe that all others of a full queue have passed is given up', async () => {
+  const clock = Clock.manual();
+  const queue = AcceptQueue.create(clock, 20);
+  for (let index = 0; index < 5; index += 1) queue.accepted();
+  assert.ok(queue.takeProbe());
+  queue.queued();
+  let refused = 0;
+  for (let index = 0; index < 100; index += 1) {
+    await clock.advance(60);
+    queue.accepted();
+    refused += Number(isTooOld(queue.wait));
+    if (queue.takeProbe()) queue.failed();
+  }
+  assert.ok(refused <= 20, `${refused} of 100 refused`);
+});
--- a/packages/coordination/src/routing/overload.ts
+++ b/packages/coordination/src/routing/overload.ts
@@ -18,6 +18,10 @@
  * reach a server; only a router that has become much slower than its VM should be lets connections wait for so long.
  */
 const waitLimit: Milliseconds = 600;
+/** Connections by which the operating system may exceed the length of the queue. */
+const lengthMargin = 2;
+/** A probe that waits for longer is forgotten: few requests could tell on a router that has few. */
+const probeLife: Milliseconds = 4_000;
 /** Connections accepted between two probes, so that probes cost little beside what they measure. */
 const connectionsPerProbe = 5;
 
@@ -32,7 +36,13 @@
 /** A connection that the router opens to itself behind those that wait. */
 type Probe =
   /** It is not among those that wait yet; a full queue does not take it. */
-  { readonly kind: 'opening' } | { readonly kind: 'waiting'; readonly since: Milliseconds };
+  | { readonly kind: 'opening' }
+  | {
+      readonly kind: 'waiting';
+      readonly since: Milliseconds;
+      /** Callers accepted since. */
+      readonly passed: number;
+    };
 
 /** How long new connections wait until they are accepted, measured by probes. */
 export class AcceptQueue {
@@ -41,20 +51,30 @@
   #wait: Milliseconds = 0;
   #accepted = 0;
 
-  private constructor(private readonly clock: Clock) {}
+  private constructor(
+    private readonly clock: Clock,
+    private readonly length: number,
+  ) {}
 
-  static create(clock: Clock): AcceptQueue {
-    return new AcceptQueue(clock);
+  /** `length` is the number of connections that may wait. */
+  static create(clock: Clock, length: number): AcceptQueue {
+    return new AcceptQueue(clock, length);
   }
 
   /** Counts a connection of a caller that was accepted. */
   accepted(): void {
     this.#accepted += 1;
+    if (this.#probe?.kind !== 'waiting') return;
+    const passed = this.#probe.passed + 1;
+    // A full queue may forget a connection whose opener believes that it is open; all that were before it have passed.
+    if (passed > this.length + lengthMargin) this.failed();
+    else this.#probe = { ...this.#probe, passed };
   }
 
   /** Whether a probe is to be opened now. If so, `reached` or `failed` is due, and `queued` before `reached`. */
   takeProbe(): boolean {
     const isDue = this.#accepted >= connectionsPerProbe || isTooOld(this.#wait);
+    if (this.#probeAge() > probeLife) this.failed();
     if (this.#probe !== undefined || !isDue) return false;
     this.#accepted = 0;
     this.#probe = { kind: 'opening' };
@@ -63,7 +83,7 @@
 
   /** The probe waits to be accepted. */
   queued(): void {
-    this.#probe = { kind: 'waiting', since: this.clock.now() };
+    this.#probe = { kind: 'waiting', since: this.clock.now(), passed: 0 };
   }
 
   /** The probe was accepted. */
@@ -72,7 +92,7 @@
     this.#probe = undefined;
   }
 
-  /** The probe was turned away; nothing is known of the queue until the next one. */
+  /** The probe was turned away or forgotten; nothing is known of the queue until the next one. */
   failed(): void {
     this.#wait = 0;
     this.#probe = undefined;
--- a/packages/gateway/src/acceptProbe.ts
+++ b/packages/gateway/src/acceptProbe.ts
@@ -45,6 +45,8 @@
 
   #open(): void {
     if (!this.server.listening || !this.queue.takeProbe()) return;
+    // One that the queue has forgotten may be left.
+    this.#close();
     const { address, port } = this.server.address() as AddressInfo;
     const socket = connect({ host: address, port, timeout: openTime });
     socket.on('connect', () => {
--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/ingress.ts
@@ -39,7 +39,7 @@
         this.#serve(request, response, isStopping());
       },
     );
-    this.#queue = AcceptQueue.create(parts.clock);
+    this.#queue = AcceptQueue.create(parts.clock, acceptBacklog(capacity));
     const probe = AcceptProbe.create(this.#server, this.#queue, parts.log);
     this.#server.on('connection', (socket) => {
       const { wait } = this.#queue;
@@ -56,8 +56,7 @@
   listen(host: string, port: number): Promise<void> {
     return new Promise((resolve, reject) => {
       this.#server.once('error', reject);
-      const backlog = acceptBacklog(this.capacity);
-      this.#server.listen({ host, port, backlog }, () => {
+      this.#server.listen({ host, port, backlog: acceptBacklog(this.capacity) }, () => {
         this.#server.off('error', reject);
         resolve();
       });
