--- a/packages/gateway/src/acceptProbe.ts
+++ b/packages/gateway/src/acceptProbe.ts
@@ -11,6 +11,10 @@
 /** Opens probes behind the connections that wait at a listener, and tells them from callers. */
 export class AcceptProbe {
   #socket: Socket | undefined;
+  /** Port of the probe that waits; unknown until it is open. */
+  #port: number | undefined;
+  /** Connections that were accepted before the probe's port was known, by their ports; one of them may be the probe. */
+  readonly #early = new Map<number, Socket>();
 
   private constructor(
     private readonly server: Server,
@@ -22,16 +26,11 @@
     return new AcceptProbe(server, queue, log);
   }
 
-  /** Takes a connection that was accepted; returns whether it is a caller's. */
+  /** Takes a connection that was accepted; returns whether it is a caller's, as far as it is known. */
   take(socket: Socket): boolean {
     const isProbe = this.#isProbe(socket);
-    if (isProbe) {
-      this.queue.reached();
-      this.#close();
-      socket.destroy();
-    } else {
-      this.queue.accepted();
-    }
+    if (isProbe) this.#reached(socket);
+    else this.queue.accepted();
     this.#open();
     return !isProbe;
   }
@@ -40,7 +39,9 @@
     if (this.#socket === undefined) return false;
     // The port is unknown if the caller has gone already.
     const { remotePort } = socket;
-    return remotePort !== undefined && remotePort === this.#socket.localPort;
+    if (remotePort === undefined) return false;
+    if (this.#port === undefined) this.#early.set(remotePort, socket);
+    return remotePort === this.#port;
   }
 
   #open(): void {
@@ -49,26 +50,44 @@
     this.#close();
     const { address, port } = this.server.address() as AddressInfo;
     const socket = connect({ host: address, port, timeout: openTime });
+    this.#socket = socket;
     socket.on('connect', () => {
-      socket.setTimeout(0);
-      if (this.#socket === socket) this.queue.queued();
+      if (this.#socket === socket) this.#opened(socket);
     });
     socket.on('timeout', () => {
-      if (this.#socket !== socket) return;
-      this.queue.failed();
-      this.#close();
+      if (this.#socket === socket) this.#failed();
     });
     socket.on('error', (error) => {
       if (this.#socket !== socket) return;
       this.log.write('probe failed', { detail: error.message });
-      this.queue.failed();
-      this.#close();
+      this.#failed();
     });
-    this.#socket = socket;
+  }
+
+  #opened(socket: Socket): void {
+    socket.setTimeout(0);
+    this.queue.queued();
+    this.#port = socket.localPort;
+    const accepted = this.#port === undefined ? undefined : this.#early.get(this.#port);
+    this.#early.clear();
+    if (accepted !== undefined) this.#reached(accepted);
+  }
+
+  #reached(accepted: Socket): void {
+    this.queue.reached();
+    accepted.destroy();
+    this.#close();
+  }
+
+  #failed(): void {
+    this.queue.failed();
+    this.#close();
   }
 
   #close(): void {
     this.#socket?.destroy();
     this.#socket = undefined;
+    this.#port = undefined;
+    this.#early.clear();
   }
 }
