--- a/packages/coordination/src/routing/overload.ts
+++ b/packages/coordination/src/routing/overload.ts
@@ -5,7 +5,7 @@
 
 import type { Clock, Milliseconds } from '@catkinwheel/state';
 
-/** Requests a second that a core relays: streams of some 30 events each, measured on the published deployments' mix. */
+/** Requests a second that a core relays: streams of 30 events, measured with a fifth of a core (38.4 a second). */
 const relayRate = 200;
 /** Time in which a full queue should be served; aims of streams are two to three times as long. */
 const queueTime: Milliseconds = 300;
@@ -20,7 +20,7 @@
 const waitLimit: Milliseconds = 600;
 /** Connections by which the operating system may exceed the length of the queue. */
 const lengthMargin = 2;
-/** A probe that waits for longer is forgotten: few requests could tell on a router that has few. */
+/** A probe that waits for longer was lost; a router with few connections would not find out by counting them. */
 const probeLife: Milliseconds = 4_000;
 /** Connections accepted between two probes, so that probes cost little beside what they measure. */
 const connectionsPerProbe = 5;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -38,7 +38,7 @@
 const quietTime: Milliseconds = 700;
 /** Time before SIGKILL at which a stopping router ends in any case. */
 const killMargin: Milliseconds = 700;
-/** Time between two log lines about the load; a day of them stays under a hundredth of the lines of requests. */
+/** Time between two log lines about the load; a router that is saturated stays so for several seconds. */
 const loadInterval: Milliseconds = 2_000;
 /** Port of the metrics on every address of the VM. */
 const metricsPortOffset = 10;
--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/ingress.ts
@@ -1,5 +1,5 @@
 // The listener for callers' requests. A request whose connection has waited for too long to be accepted is refused before
-// anything is done for it, which costs a small part of serving it.
+// a server is chosen for it.
 
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
