--- a/packages/standins/src/stack/caller.ts
+++ b/packages/standins/src/stack/caller.ts
@@ -2,11 +2,15 @@
 
 import { request, type Agent, type IncomingHttpHeaders } from 'node:http';
 
+/** Characters of a body that are kept at least. An answer without end brings more than a string can hold. */
+const keptLimit = 1024 * 1024;
+
 /** What a caller got. */
 export interface CallResult {
   /** 0 if there was no answer. */
   readonly status: number;
   readonly headers: IncomingHttpHeaders;
+  /** The body; of one that is longer than 1 MiB only its beginning. */
   readonly body: string;
   /** Whether the answer ended as its framing says. */
   readonly isWhole: boolean;
@@ -61,7 +65,7 @@
         ({ headers } = response);
         options.onHead?.();
         response.on('data', (chunk: Buffer) => {
-          body += chunk.toString('utf8');
+          if (body.length < keptLimit) body += chunk.toString('utf8');
         });
         response.on('end', () => {
           end(response.complete);
