--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -28,6 +28,8 @@
   readonly at: number;
   readonly first: number | undefined;
   readonly took: number;
+  /** Bytes of a body that went to the caller. */
+  readonly handedOn: number;
   readonly result: string;
 }
 
--- a/packages/gateway/src/callerResponse.ts
+++ b/packages/gateway/src/callerResponse.ts
@@ -6,6 +6,9 @@
 
 /** An answer to one request. */
 export class CallerResponse {
+  #handedOn = 0;
+  #declared: number | undefined;
+
   private constructor(
     private readonly response: ServerResponse,
     private readonly id: string,
@@ -26,14 +29,27 @@
     return this.isOpen ? this.response.statusCode : undefined;
   }
 
+  /** Length in bytes that the head of a server's answer declared; undefined if it declared none. */
+  get declared(): number | undefined {
+    return this.#declared;
+  }
+
+  /** Bytes of a server's body that went to the caller. */
+  get handedOn(): number {
+    return this.#handedOn;
+  }
+
   /** Sends the head of a server's answer; a stream that is continued keeps that of its first server. */
   open(head: Head): void {
     if (this.isOpen) return;
+    const length = head.headers['content-length'];
+    this.#declared = length === undefined ? undefined : Number(length);
     this.response.writeHead(head.status, head.headers as Record<string, string | string[]>);
   }
 
   /** Hands bytes on; resolves when the caller has room for more, or has left. */
   async write(bytes: Uint8Array): Promise<void> {
+    this.#handedOn += bytes.byteLength;
     // A response that is closed never drains, and does not close again.
     if (this.response.destroyed || this.response.write(bytes)) return;
     await new Promise<void>((resolve) => {
@@ -49,6 +65,7 @@
 
   /** Completes the answer. */
   end(bytes?: Uint8Array): void {
+    this.#handedOn += bytes?.byteLength ?? 0;
     this.response.end(bytes);
   }
 
--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/ingress.ts
@@ -11,7 +11,7 @@
 } from '@catkinwheel/coordination/routing';
 import type { Milliseconds } from '@catkinwheel/state';
 import { AcceptProbe } from './acceptProbe.js';
-import { Relay, type RelayParts } from './relay.js';
+import { Relay, type ConnectionUse, type RelayParts } from './relay.js';
 
 /** How often connections are checked for the time-outs of their headers. */
 const checkInterval: Milliseconds = 1_000;
@@ -24,6 +24,9 @@
   readonly #queue: AcceptQueue;
   /** Connections that have waited for too long, until their first request. */
   readonly #old = new WeakMap<Socket, Milliseconds>();
+  /** What the log names open connections by. */
+  readonly #uses = new WeakMap<Socket, ConnectionUse>();
+  #connections = 0;
   #underWay = 0;
   #lastEnd: Milliseconds;
 
@@ -87,7 +90,7 @@
   #serve(request: IncomingMessage, response: ServerResponse, isStopping: boolean): void {
     const { parts } = this;
     if (isStopping) response.setHeader('connection', 'close');
-    const relay = Relay.create(parts, request, response);
+    const relay = Relay.create(parts, request, response, this.#use(request.socket));
     const wait = this.#old.get(request.socket);
     if (wait !== undefined) {
       this.#old.delete(request.socket);
@@ -103,6 +106,15 @@
     });
   }
 
+  #use(socket: Socket): ConnectionUse {
+    const known = this.#uses.get(socket);
+    if (known === undefined) this.#connections += 1;
+    const { number = this.#connections, requests = 0 } = known ?? {};
+    const use = { number, requests: requests + 1 };
+    this.#uses.set(socket, use);
+    return use;
+  }
+
   /** Stops listening and closes idle connections. */
   close(): void {
     this.#server.close();
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -69,6 +69,14 @@
   readonly random: () => number;
 }
 
+/** Where a request stands on its caller's connection. */
+export interface ConnectionUse {
+  /** Counts the caller's connections of this run of the router. */
+  readonly number: number;
+  /** Requests on the connection until now, this one included. */
+  readonly requests: number;
+}
+
 /** Whether the request may have run, over all attempts. */
 type Verdict = 'notRun' | 'mayHaveRun';
 
@@ -91,6 +99,7 @@
     private readonly parts: RelayParts,
     private readonly request: IncomingMessage,
     private readonly response: ServerResponse,
+    private readonly connection: ConnectionUse,
   ) {
     this.#arrived = parts.clock.now();
     this.#head = decodeHead(request.headers);
@@ -98,8 +107,13 @@
     this.#lastEvent = this.#head.lastEvent;
   }
 
-  static create(parts: RelayParts, request: IncomingMessage, response: ServerResponse): Relay {
-    return new Relay(parts, request, response);
+  static create(
+    parts: RelayParts,
+    request: IncomingMessage,
+    response: ServerResponse,
+    connection: ConnectionUse,
+  ): Relay {
+    return new Relay(parts, request, response, connection);
   }
 
   /** Refuses the request unread, since its connection waited for too long to be accepted. */
@@ -265,6 +279,7 @@
       }, within);
     };
     expectBytes(grant.predicted + firstSilence);
+    const handedOnBefore = this.#answer.handedOn;
     let first: Milliseconds | undefined;
     const onProgress = (): void => {
       if (first === undefined) {
@@ -293,6 +308,7 @@
       at: Math.round(sent - this.#arrived),
       first: rounded(first),
       took: Math.round(clock.now() - sent),
+      handedOn: this.#answer.handedOn - handedOnBefore,
       result: describe(attempt),
     });
     return attempt;
@@ -481,6 +497,10 @@
       reason,
       verdict,
       status: this.#answer.status,
+      connection: this.connection.number,
+      onConnection: this.connection.requests,
+      declared: this.#answer.declared,
+      handedOn: this.#answer.handedOn,
       route: route?.name,
       team: this.#team?.name,
       priority: this.#team?.priority ?? route?.priority,
