--- a/packages/coordination/src/routing/index.ts
+++ b/packages/coordination/src/routing/index.ts
@@ -6,6 +6,7 @@
 export * from './engine.js';
 export * from './entrances.js';
 export * from './groups.js';
+export * from './handedOn.js';
 export * from './homes.js';
 export * from './loads.js';
 export * from './members.js';
--- a/packages/gateway/src/callerResponse.ts
+++ b/packages/gateway/src/callerResponse.ts
@@ -39,6 +39,12 @@
     return this.#handedOn;
   }
 
+  /** Sends an answer that is whole. */
+  whole(head: Head, body: Uint8Array): void {
+    this.open(head);
+    this.end(body);
+  }
+
   /** Sends the head of a server's answer; a stream that is continued keeps that of its first server. */
   open(head: Head): void {
     if (this.isOpen) return;
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -21,12 +21,12 @@
 import type { Head } from '@catkinwheel/protocol';
 import type { Clock, Milliseconds } from '@catkinwheel/state';
 import { describe, resultOf, type Attempt, type Cause, type Trace } from './attempt.js';
+import { Answer, type RunAnswer } from './answer.js';
 import { CallerResponse } from './callerResponse.js';
-import { EventStream } from './eventStream.js';
 import type { Log } from './log.js';
 import type { Metrics } from './metrics.js';
 import { readBody } from './requestBody.js';
-import type { ServerConnections } from './serverConnections.js';
+import type { Outgoing, ServerConnections } from './serverConnections.js';
 
 /** A stream that may be continued elsewhere is, after this silence; callers leave after about 2 s. */
 const eventSilence: Milliseconds = 1_300;
@@ -80,15 +80,26 @@
 /** Whether the request may have run, over all attempts. */
 type Verdict = 'notRun' | 'mayHaveRun';
 
+/** One try of a request at one server. */
+interface Sending {
+  readonly route: Route;
+  readonly grant: Grant;
+  readonly body: Buffer;
+  readonly deadline: Milliseconds;
+  /** Whether the request may be sent to a further server. */
+  readonly mayRepeat: boolean;
+  readonly answer: Answer;
+  readonly run: RunAnswer;
+}
+
 /** A request that is being served. */
 export class Relay {
   readonly #arrived: Milliseconds;
   readonly #head: RequestHead;
-  readonly #answer: CallerResponse;
+  readonly #response: CallerResponse;
   readonly #ending = new AbortController();
   readonly #traces: Trace[] = [];
   #deadlineTimer: NodeJS.Timeout | undefined;
-  #lastEvent: string | undefined;
   #firstByte: Milliseconds | undefined;
   #acceptWait: Milliseconds | undefined;
   #route: Route | undefined;
@@ -103,8 +114,7 @@
   ) {
     this.#arrived = parts.clock.now();
     this.#head = decodeHead(request.headers);
-    this.#answer = CallerResponse.create(response, this.#head.id);
-    this.#lastEvent = this.#head.lastEvent;
+    this.#response = CallerResponse.create(response, this.#head.id);
   }
 
   static create(
@@ -188,9 +198,12 @@
     const service = this.#chooseService(route);
     dispatcher.repeats.request(service);
     const avoid = new Set<string>();
+    const answer = Answer.create(clock, this.#response, route);
     let verdict: Verdict = 'notRun';
     let sends = 0;
     for (let tries = 0; tries < mostTries; tries += 1) {
+      const run = answer.nextRun();
+      if (run === undefined) break;
       const grant = await dispatcher.acquire(
         {
           route,
@@ -210,7 +223,8 @@
       }
       if (tries === 0) metrics.waiting.observe((clock.now() - this.#arrived) / 1_000);
       const mayRepeat = sends + 1 < route.maxAttempts && isRepeatable(route);
-      const attempt = await this.#attempt(route, grant, body, deadline, mayRepeat);
+      const sending = { route, grant, body, deadline, mayRepeat, answer, run };
+      const attempt = await this.#attempt(sending);
       avoid.add(grant.server.id);
       switch (attempt.kind) {
         case 'delivered':
@@ -235,6 +249,7 @@
       const isAllowed =
         sends < route.maxAttempts &&
         (attempt.kind === 'notRun' || isRepeatable(route)) &&
+        answer.isContinuable &&
         !this.#ending.signal.aborted;
       if (!isAllowed || !dispatcher.repeats.take(service)) {
         const reason = verdict === 'notRun' ? 'serverRefused' : attempt.kind;
@@ -246,13 +261,8 @@
     this.#giveUp('unreachable', verdict, otherRouterRetry);
   }
 
-  async #attempt(
-    route: Route,
-    grant: Grant,
-    body: Buffer,
-    deadline: Milliseconds,
-    mayRepeat: boolean,
-  ): Promise<Attempt> {
+  async #attempt(sending: Sending): Promise<Attempt> {
+    const { route, grant, body, deadline, mayRepeat, answer } = sending;
     const { clock, connections, metrics } = this.parts;
     const { server } = grant;
     const sent = clock.now();
@@ -262,7 +272,7 @@
       server: server.id,
       team: this.#team?.name,
       timeLeft: deadline - sent,
-      lastEvent: this.#lastEvent,
+      lastEvent: answer.lastEvent ?? this.#head.lastEvent,
     });
     const outgoing = {
       method: this.request.method ?? 'GET',
@@ -273,13 +283,14 @@
     let watch: NodeJS.Timeout | undefined;
     const expectBytes = (within: Milliseconds): void => {
       clearTimeout(watch);
-      if (!mayRepeat) return;
+      // Silence is no reason to end an answer that no other run may continue.
+      if (!mayRepeat || !answer.isContinuable) return;
       watch = setTimeout(() => {
         silence.abort('silence');
       }, within);
     };
     expectBytes(grant.predicted + firstSilence);
-    const handedOnBefore = this.#answer.handedOn;
+    const handedOnBefore = this.#response.handedOn;
     let first: Milliseconds | undefined;
     const onProgress = (): void => {
       if (first === undefined) {
@@ -296,7 +307,7 @@
       }, discardTime);
     };
     const on = { progress: onProgress, discard: onDiscard };
-    const attempt = await this.#relay(route, grant, outgoing, signal, mayRepeat, on);
+    const attempt = await this.#relay(sending, outgoing, signal, on);
     clearTimeout(watch);
     const ended = attempt.kind === 'ended' && attempt.cause === 'silence';
     if (ended) connections.retire(server.id);
@@ -308,7 +319,7 @@
       at: Math.round(sent - this.#arrived),
       first: rounded(first),
       took: Math.round(clock.now() - sent),
-      handedOn: this.#answer.handedOn - handedOnBefore,
+      handedOn: this.#response.handedOn - handedOnBefore,
       result: describe(attempt),
     });
     return attempt;
@@ -316,17 +327,13 @@
 
   /** Hands the answer of one server on. */
   async #relay(
-    route: Route,
-    grant: Grant,
-    outgoing: Parameters<ServerConnections['send']>[2],
+    { route, grant, mayRepeat, run }: Sending,
+    outgoing: Outgoing,
     signal: AbortSignal,
-    mayRepeat: boolean,
     on: { readonly progress: () => void; readonly discard: () => void },
   ): Promise<Attempt> {
     const { connections } = this.parts;
     const { id, address } = grant.server;
-    const isStream = route.kind === 'streaming';
-    const events = isStream && route.canResume ? EventStream.create() : undefined;
     let head: Head | undefined;
     let discard: Attempt | undefined;
     let discarded = 0;
@@ -339,7 +346,7 @@
             return { kind: 'failed', detail: 'answer belongs to another request' };
           }
           head = piece;
-          if (!isStream) on.progress();
+          if (route.kind !== 'streaming') on.progress();
           if (checked !== undefined) {
             discard = checked;
             on.discard();
@@ -354,22 +361,21 @@
           }
           if (head === undefined) break;
           on.progress();
-          const whole = events === undefined ? piece : events.push(piece.bytes);
-          if (whole === undefined) break;
-          if (whole === 'tooLong') {
+          const taken = await run.take(head, piece.bytes);
+          // The caller may have read slowly, and no other run may continue now.
+          on.progress();
+          if (taken === 'tooLong') {
             const detail = 'an event without end';
-            return this.#answer.isOpen ? { kind: 'cut', detail } : { kind: 'failed', detail };
+            return this.#response.isOpen ? { kind: 'cut', detail } : { kind: 'failed', detail };
           }
-          this.#open(head);
-          if ('lastId' in whole && whole.lastId !== undefined) this.#lastEvent = whole.lastId;
-          await this.#answer.write(whole.bytes);
+          if (taken === 'handedOn') this.#noteFirstByte();
           break;
         }
         case 'end':
           if (discard !== undefined) return discard;
           if (head === undefined) return { kind: 'failed', detail: 'no answer' };
-          this.#open(head);
-          this.#answer.end(events?.rest());
+          this.#noteFirstByte();
+          run.end(head);
           return { kind: 'delivered', status: head.status };
         case 'failed':
           return this.#failedAttempt(piece.failure.verdict, piece.failure.detail, signal, discard);
@@ -394,7 +400,7 @@
       return { kind: 'ended', cause };
     }
     if (verdict === 'notRun') return { kind: 'unsent', detail };
-    return this.#answer.isOpen ? { kind: 'cut', detail } : { kind: 'failed', detail };
+    return this.#response.isOpen ? { kind: 'cut', detail } : { kind: 'failed', detail };
   }
 
   /** Undefined if the answer may be handed on, else what becomes of it. */
@@ -406,21 +412,19 @@
     if (answer.isNotRun) return { kind: 'notRun', status };
     const isSuccess = status >= 200 && status < 300;
     if (isSuccess && (!answer.isSigned || answer.requestId === undefined)) return 'foreign';
-    if (this.#answer.isOpen && !isSuccess) return { kind: 'cut', detail: `status ${status}` };
+    if (this.#response.isOpen && !isSuccess) return { kind: 'cut', detail: `status ${status}` };
     if (status >= 500 && mayRepeat) return { kind: 'failed', detail: `status ${status}` };
     return undefined;
   }
 
-  #open(head: Head): void {
-    if (this.#answer.isOpen) return;
-    this.#firstByte = this.parts.clock.now() - this.#arrived;
-    this.#answer.open(head);
+  #noteFirstByte(): void {
+    this.#firstByte ??= this.parts.clock.now() - this.#arrived;
   }
 
   #reply(status: number, reason: string, headers: Readonly<Record<string, string>> = {}): void {
     // The rest of a body that is too large is not read, so its connection cannot be used again.
     const closes = this.parts.isClosing() || status === statuses.tooLarge;
-    this.#answer.reply(status, reason, headers, closes);
+    this.#response.reply(status, reason, headers, closes);
   }
 
   /** Work that may not be repeated goes on when its caller leaves; everything else stops. */
@@ -463,7 +467,7 @@
   /** The request has not run and will not. */
   #refuse(reason: string, retryAfter: Milliseconds): void {
     this.parts.metrics.refusals.inc({ reason });
-    if (this.#answer.isOpen) {
+    if (this.#response.isOpen) {
       this.#fail(reason, 'notRun');
       return;
     }
@@ -479,7 +483,7 @@
 
   /** The request may have run, or a part of its answer was handed on. */
   #fail(reason: string, verdict: Verdict): void {
-    if (this.#answer.isOpen) this.#answer.breakOff();
+    if (this.#response.isOpen) this.#response.breakOff();
     else this.#reply(reason === 'deadline' ? statuses.timeout : statuses.failed, reason);
     this.#end('failed', reason, verdict);
   }
@@ -496,11 +500,11 @@
       outcome,
       reason,
       verdict,
-      status: this.#answer.status,
+      status: this.#response.status,
       connection: this.connection.number,
       onConnection: this.connection.requests,
-      declared: this.#answer.declared,
-      handedOn: this.#answer.handedOn,
+      declared: this.#response.declared,
+      handedOn: this.#response.handedOn,
       route: route?.name,
       team: this.#team?.name,
       priority: this.#team?.priority ?? route?.priority,
