--- /dev/null
+++ b/packages/coordination/src/routing/answers.test.ts
@@ -0,0 +1,57 @@
+// Load pattern: servers that answer twice, the second time late, on connections that are kept for the next requests.
+
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { judge, type AnswerFacts, type Judgement, type Standpoint } from './answers.js';
+
+const whole: AnswerFacts = {
+  status: 200,
+  names: 'thisRequest',
+  isSigned: true,
+  isNotRun: false,
+  isPromise: false,
+  isEncoded: false,
+};
+const first: Standpoint = { isOpen: false, mayRepeat: true };
+const last: Standpoint = { isOpen: false, mayRepeat: false };
+const continued: Standpoint = { isOpen: true, mayRepeat: false };
+
+function kindOf(changes: Partial<AnswerFacts>, standpoint: Standpoint): Judgement['kind'] {
+  return judge({ ...whole, ...changes }, standpoint).kind;
+}
+
+// Guards against a caller that gets the late second answer to the request before, whatever it says.
+test('an answer that does not name the request is never used, be it a success, a failure or a refusal', () => {
+  for (const names of ['anotherRequest', 'noRequest'] as const)
+    for (const standpoint of [first, last, continued])
+      for (const changes of [
+        {},
+        { status: 500 },
+        { status: 500, isSigned: false },
+        { status: 503, isNotRun: true, isPromise: true, isSigned: false },
+        { status: 421, isNotRun: true, isPromise: true, isSigned: false },
+      ])
+        assert.equal(kindOf({ ...changes, names }, standpoint), 'foreign');
+});
+
+// Guards against a success that no server signed, and against a body that is not the server's.
+test('a success without signature or with an encoded body is not handed on', () => {
+  assert.equal(kindOf({}, last), 'accepted');
+  assert.equal(kindOf({ isSigned: false }, last), 'foreign');
+  assert.equal(kindOf({ isEncoded: true }, last), 'unusable');
+});
+
+// Guards against telling a caller that its request has not run, when its server does not say so.
+test('a status that promises not to have run is handed on only as the router’s own', () => {
+  assert.equal(kindOf({ status: 503, isPromise: true, isNotRun: true }, last), 'notRun');
+  for (const status of [408, 429, 503])
+    assert.equal(kindOf({ status, isPromise: true }, last), 'unusable');
+});
+
+// Guards against a failure in the middle of a stream, and against failures that another server could spare the caller.
+test('a failure is handed on if nothing was before it and no other server is tried', () => {
+  assert.equal(kindOf({ status: 500 }, last), 'accepted');
+  assert.equal(kindOf({ status: 404 }, first), 'accepted');
+  assert.equal(kindOf({ status: 500 }, first), 'unusable');
+  assert.equal(kindOf({ status: 404 }, continued), 'unusable');
+});
--- /dev/null
+++ b/packages/coordination/src/routing/answers.ts
@@ -0,0 +1,55 @@
+// Load pattern: servers answer some requests twice, the second time late, while their connections are kept for further
+// requests; others answer with what is no answer of theirs. The late answer comes where that of the next request is due,
+// and only the id in it tells the two apart. What does not name its request belongs to none.
+
+/** What the head of an answer tells. */
+export interface AnswerFacts {
+  readonly status: number;
+  /** The request that the answer names. */
+  readonly names: 'thisRequest' | 'anotherRequest' | 'noRequest';
+  /** Whether it has a server's signature. */
+  readonly isSigned: boolean;
+  /** Whether the server promises that the request has not run and will not. */
+  readonly isNotRun: boolean;
+  /** Whether callers take the status as that promise. */
+  readonly isPromise: boolean;
+  /** Whether the body is encoded. Callers ask for none that is, so no server's body is. */
+  readonly isEncoded: boolean;
+}
+
+/** What may be done with an answer. */
+export type Judgement =
+  /** It may be handed on. */
+  | { readonly kind: 'accepted' }
+  /** It belongs to another request or to none; its connection cannot be used any more. */
+  | { readonly kind: 'foreign'; readonly detail: string }
+  /** The server did not run the request. */
+  | { readonly kind: 'notRun' }
+  /** It is this request's, but its caller must not get it. */
+  | { readonly kind: 'unusable'; readonly detail: string };
+
+/** Where the request stands when the head of an answer comes. */
+export interface Standpoint {
+  /** Whether a part of an answer was handed on. */
+  readonly isOpen: boolean;
+  /** Whether the request may be sent to a further server. */
+  readonly mayRepeat: boolean;
+}
+
+/** Decides what may be done with an answer by its head. */
+export function judge(facts: AnswerFacts, { isOpen, mayRepeat }: Standpoint): Judgement {
+  const { status, names, isSigned, isNotRun, isPromise, isEncoded } = facts;
+  if (names !== 'thisRequest')
+    return { kind: 'foreign', detail: `answer belongs to ${belongings[names]}` };
+  if (isNotRun) return { kind: 'notRun' };
+  const isSuccess = status >= 200 && status < 300;
+  if (isSuccess && !isSigned) return { kind: 'foreign', detail: 'answer without a signature' };
+  if (isEncoded) return { kind: 'unusable', detail: 'an encoded body' };
+  if (isPromise)
+    return { kind: 'unusable', detail: `status ${status} of a request that may have run` };
+  if (!isSuccess && isOpen) return { kind: 'unusable', detail: `status ${status}` };
+  if (status >= 500 && mayRepeat) return { kind: 'unusable', detail: `status ${status}` };
+  return { kind: 'accepted' };
+}
+
+const belongings = { anotherRequest: 'another request', noRequest: 'no request' } as const;
--- a/packages/coordination/src/routing/index.ts
+++ b/packages/coordination/src/routing/index.ts
@@ -1,6 +1,7 @@
 // Routing decisions, without any network: which server runs a request, who waits and who is refused.
 
 export * from './admission.js';
+export * from './answers.js';
 export * from './coldStart.js';
 export * from './dispatcher.js';
 export * from './engine.js';
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -2,13 +2,14 @@
 // handed on, and what the caller is told if nothing can be.
 
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type {
-  Basis,
-  Dispatcher,
-  Grant,
-  Prompt,
-  Route,
-  Team,
+import {
+  judge,
+  type Basis,
+  type Dispatcher,
+  type Grant,
+  type Prompt,
+  type Route,
+  type Team,
 } from '@catkinwheel/coordination/routing';
 import {
   decodeAnswerHead,
@@ -340,17 +341,26 @@
     for await (const piece of connections.send(id, address, outgoing, signal)) {
       switch (piece.kind) {
         case 'head': {
-          const checked = this.#check(piece, mayRepeat);
-          if (checked === 'foreign') {
-            // The connection has answers in it that are not ours.
-            return { kind: 'failed', detail: 'answer belongs to another request' };
+          const { status } = piece;
+          const facts = decodeAnswerHead(this.#head.id, status, piece.headers);
+          const judgement = judge(facts, { isOpen: this.#response.isOpen, mayRepeat });
+          switch (judgement.kind) {
+            case 'foreign':
+              // The connection has answers in it that are not ours.
+              return { kind: 'failed', detail: judgement.detail };
+            case 'accepted':
+              if (route.kind !== 'streaming') on.progress();
+              break;
+            case 'notRun':
+              discard = { kind: 'notRun', status };
+              on.discard();
+              break;
+            case 'unusable':
+              discard = this.#broken(judgement.detail);
+              on.discard();
+              break;
           }
           head = piece;
-          if (route.kind !== 'streaming') on.progress();
-          if (checked !== undefined) {
-            discard = checked;
-            on.discard();
-          }
           break;
         }
         case 'bytes': {
@@ -365,8 +375,7 @@
           // The caller may have read slowly, and no other run may continue now.
           on.progress();
           if (taken === 'tooLong') {
-            const detail = 'an event without end';
-            return this.#response.isOpen ? { kind: 'cut', detail } : { kind: 'failed', detail };
+            return this.#broken('an event without end');
           }
           if (taken === 'handedOn') this.#noteFirstByte();
           break;
@@ -400,21 +409,11 @@
       return { kind: 'ended', cause };
     }
     if (verdict === 'notRun') return { kind: 'unsent', detail };
-    return this.#response.isOpen ? { kind: 'cut', detail } : { kind: 'failed', detail };
+    return this.#broken(detail);
   }
 
-  /** Undefined if the answer may be handed on, else what becomes of it. */
-  #check(head: Head, mayRepeat: boolean): Attempt | 'foreign' | undefined {
-    const { status } = head;
-    const answer = decodeAnswerHead(status, head.headers);
-    const isForeign = answer.requestId !== undefined && answer.requestId !== this.#head.id;
-    if (isForeign) return 'foreign';
-    if (answer.isNotRun) return { kind: 'notRun', status };
-    const isSuccess = status >= 200 && status < 300;
-    if (isSuccess && (!answer.isSigned || answer.requestId === undefined)) return 'foreign';
-    if (this.#response.isOpen && !isSuccess) return { kind: 'cut', detail: `status ${status}` };
-    if (status >= 500 && mayRepeat) return { kind: 'failed', detail: `status ${status}` };
-    return undefined;
+  #broken(detail: string): Attempt {
+    return { kind: this.#response.isOpen ? 'cut' : 'failed', detail };
   }
 
   #noteFirstByte(): void {
--- a/packages/standins/src/stack/server.ts
+++ b/packages/standins/src/stack/server.ts
@@ -168,7 +168,8 @@
     const chunks: Buffer[] = [];
     for await (const chunk of request as AsyncIterable<Buffer>) chunks.push(chunk);
     if (headers['expect-instance'] !== this.id) {
-      response.writeHead(421, { 'instance-id': this.id }).end();
+      const id = String(headers['request-id']);
+      response.writeHead(421, { 'instance-id': this.id, 'request-id': id }).end();
       return;
     }
     const id = String(headers['request-id']);
