Continue only a stream of tokens that began well

Callers of a streaming chat entry got the tokens of a second run behind a plain answer, or under the status of a run that had failed, and an end mark that made both look whole.

An attempt was resumed, and the request repeated, for every request for a stream, whatever answer had been handed on. An engine may answer such a request with a plain body, or with events under an error status. When that broke off behind its first bytes, the next connection's events were written behind them.

The transcript keeps the head that was handed on and says whether anything can go on behind it. Both the resumption and the repetition ask it. Work for plain services is decided by the same rule, so that a revoked permit or a silent connection cannot repeat a plain answer of which a part was handed on; tests of these are added.

--- a/packages/coordination/src/attempt.ts
+++ b/packages/coordination/src/attempt.ts
@@ -170,6 +170,7 @@
   #isResumable(failure: Failure, caller: AbortSignal | undefined): boolean {
     return (
       this.#isModelStream &&
+      this.#transcript.isContinuable &&
       caller?.aborted !== true &&
       failure.verdict !== 'notRun' &&
       this.#fruitless < resumeLimit &&
--- a/packages/coordination/src/execution.test.ts
+++ b/packages/coordination/src/execution.test.ts
@@ -232,6 +232,22 @@
     got: 'part|mayHaveRun connectionLost',
     sent: ['send a1 0'],
   },
+  // Guards against events of a second run behind the plain answer of the first.
+  {
+    name: 'a plain answer to a request for a stream is neither resumed nor repeated once a part was handed on',
+    entry: 'chat',
+    scripts: [[plainHead(200), bytes('part'), lost], rest, whole],
+    got: 'part|mayHaveRun connectionLost',
+    sent: ['send a1 0', 'cancel a1 0'],
+  },
+  // Guards against the events of a run that goes well under the status of one that failed.
+  {
+    name: 'a stream of events with an error status is neither resumed nor repeated once a part was handed on',
+    entry: 'chat',
+    scripts: [[{ ...eventHead, status: 500 }, tokens('a'), lost], rest, whole],
+    got: 'a|mayHaveRun connectionLost',
+    sent: ['send a1 0', 'cancel a1 0'],
+  },
   {
     name: 'a request that runs longer than maxRun is cancelled and not repeated',
     entry: 'read',
@@ -342,6 +358,34 @@
   assert.deepEqual(bench.outcomes, ['cancelled', 'used']);
 });
 
+// Guards against a second body behind the part that the caller has.
+test('a plain answer whose permit is revoked after a part was handed on is not repeated', async () => {
+  const bench = new Bench([plainHead(200), bytes('part'), 'hang'], ok);
+  const running = bench.run('read');
+  await bench.clock.advance(500);
+  bench.permits.revocations[0]?.abort();
+  assert.equal(await running, 'part|mayHaveRun revoked');
+  assert.deepEqual(bench.sent, ['send a1 0']);
+});
+
+// Guards against a second body behind the part that the caller has.
+test('a plain answer that falls silent after a part was handed on is not repeated', async () => {
+  const slow: readonly Step[] = [plainHead(200, { 'content-length': '2' }), 500, bytes('ok'), end];
+  const answers = Array.from({ length: 50 }, () => slow);
+  const bench = new Bench(...answers, [plainHead(200), bytes('part'), 'hang'], ok);
+  for (let count = 0; count < 50; count += 1) await bench.run('read');
+  assert.equal(await bench.run('read'), 'part|mayHaveRun silentConnection');
+  assert.equal(bench.sent.length, 51);
+});
+
+// Guards against a recorded answer that is made of the parts of two runs.
+test('keyed work that was cut after a part was handed on is not sent again, and no part is recorded', async () => {
+  const bench = new Bench([plainHead(200), bytes('part'), bytes('more'), lost], ok);
+  assert.equal(await bench.run('pay', { key: 'k' }), 'part|mayHaveRun connectionLost');
+  assert.equal(await bench.run('pay', { key: 'k' }), '|mayHaveRun claimUnresolved');
+  assert.equal(bench.sent.length, 1);
+});
+
 test('nothing is sent with a permit that expired unused', async () => {
   const bench = new Bench(ok);
   bench.permits.expired = 2;
--- a/packages/coordination/src/execution.ts
+++ b/packages/coordination/src/execution.ts
@@ -249,9 +249,7 @@
 
   /** Whether the work may run again and what was handed on can be continued. */
   get #isSafeToRepeat(): boolean {
-    const { entry, service } = this.#target;
-    if (!entry.idempotent) return false;
-    return !this.#transcript.hasHead || (this.#call.stream && service.kind === 'model');
+    return this.#target.entry.idempotent && this.#transcript.isContinuable;
   }
 
   #work(): Work {
--- a/packages/coordination/src/reading.ts
+++ b/packages/coordination/src/reading.ts
@@ -141,7 +141,7 @@
 
   #withHead(answer: Answer, pieces: readonly Piece[]): readonly Piece[] {
     if (this.#transcript.hasHead) return pieces;
-    this.#transcript.hasHead = true;
+    this.#transcript.noteHead(answer.head);
     return [answer.head, ...pieces];
   }
 }
--- a/packages/coordination/src/transcript.ts
+++ b/packages/coordination/src/transcript.ts
@@ -1,7 +1,7 @@
 // What a stream has handed on so far. It decides at which token a cut stream resumes, from which text
 // another server continues, and what the request has cost up to now.
 
-import { streamEnd, type ServerRequest } from '@catkinwheel/protocol';
+import { streamEnd, type Head, type ServerRequest } from '@catkinwheel/protocol';
 import type { Cost } from '@catkinwheel/state';
 
 /** Prompt tokens that cost as much as one generated token. */
@@ -24,8 +24,6 @@
 
 /** Tokens and text of one answer, over all servers that contributed to it. */
 export class Transcript {
-  /** Whether the head of an answer was handed on. */
-  hasHead = false;
   readonly #promptCost: Cost;
   readonly #keepsText: boolean;
   #text: string[] = [];
@@ -33,6 +31,8 @@
   #attemptTokens = 0;
   #usage: Usage | undefined;
   #answered = false;
+  /** The head that was handed on. */
+  #head: Head | undefined;
 
   private constructor(promptBytes: number, keepsText: boolean) {
     this.#promptCost = promptBytes / bytesPerToken / promptTokensPerCost;
@@ -44,6 +44,19 @@
     return new Transcript(promptBytes, keepsText);
   }
 
+  /** Whether the head of an answer was handed on. */
+  get hasHead(): boolean {
+    return this.#head !== undefined;
+  }
+
+  /**
+   * Whether another connection can go on behind what was handed on. Only a stream of tokens has an
+   * offset to go on from; behind any other answer, a second run would be joined to the first.
+   */
+  get isContinuable(): boolean {
+    return this.#head === undefined || (this.#head.events && this.#head.status === 200);
+  }
+
   /** Tokens handed on over all attempts. */
   get tokens(): number {
     return this.#tokens;
@@ -69,6 +82,11 @@
     this.#usage = undefined;
   }
 
+  /** Notes the head that is handed on. */
+  noteHead(head: Head): void {
+    this.#head = head;
+  }
+
   /** Notes an event and says whether it belongs into the answer. */
   note(data: string): EventKind {
     if (data === streamEnd) return 'endMark';
