Do not go on behind events that have no place among the tokens

Callers of a streaming chat entry got parts of two runs joined when the broken stream had brought a tool call, a second choice, an error event or anything else but text.

The place at which a broken stream goes on is the number of tokens and the text so far. Such events count as neither, so the stream was resumed at an offset before them, or the request was sent anew to another server, and all of their run came a second time.

Evidence: five cases of execution.test.ts got the whole text of a second connection behind the event; an error is due there.

The transcript notes whether all that was handed on is told by tokens and text, and nothing goes on behind a stream for which that is not so.

--- a/packages/coordination/src/execution.test.ts
+++ b/packages/coordination/src/execution.test.ts
@@ -248,6 +248,32 @@
     got: 'a|mayHaveRun connectionLost',
     sent: ['send a1 0', 'cancel a1 0'],
   },
+  // Guards against streams that are given up, or end with an internal error, for an event that says nothing.
+  ...[
+    '{"choices":[{"index":0,"delta":{"role":"assistant","content":"","tool_calls":[],"refusal":null}}]}',
+    '{"choices":[{"delta":null},null]}',
+    '{"choices":[],"usage":null}',
+  ].map((data) => ({
+    name: `a stream is resumed behind the event ${data}`,
+    entry: 'chat',
+    scripts: [[eventHead, { kind: 'events', data: [data] }, lost], rest] as const,
+    got: 'c.|whole',
+    sent: ['send a1 0', 'resume a1 0'],
+  })),
+  // Guards against two runs in one stream: an offset in tokens and a text say nothing of such events.
+  ...[
+    '{"choices":[{"delta":{"tool_calls":[{"function":{"arguments":"{"}}]}}]}',
+    '{"choices":[{"index":1,"delta":{"content":""}}]}',
+    '{"error":{"message":"out of memory"}}',
+    '{"choices":{"delta":{}}}',
+    'no JSON',
+  ].map((data) => ({
+    name: `a stream is neither resumed nor repeated behind the event ${data}`,
+    entry: 'chat',
+    scripts: [[eventHead, { kind: 'events', data: [data] }, lost], rest, whole] as const,
+    got: '|mayHaveRun connectionLost',
+    sent: ['send a1 0', 'cancel a1 0'],
+  })),
   {
     name: 'a request that runs longer than maxRun is cancelled and not repeated',
     entry: 'read',
--- a/packages/coordination/src/transcript.ts
+++ b/packages/coordination/src/transcript.ts
@@ -14,8 +14,13 @@
   readonly completion_tokens?: number;
 }
 
+interface Choice {
+  readonly index?: number;
+  readonly delta?: Readonly<Record<string, unknown>> | null;
+}
+
 interface Chunk {
-  readonly choices?: readonly { readonly delta?: { readonly content?: unknown } }[];
+  readonly choices?: readonly (Choice | null)[];
   readonly usage?: Usage | null;
 }
 
@@ -33,6 +38,8 @@
   #answered = false;
   /** The head that was handed on. */
   #head: Head | undefined;
+  /** Whether tokens and text tell all that was handed on. */
+  #isTextOnly = true;
 
   private constructor(promptBytes: number, keepsText: boolean) {
     this.#promptCost = promptBytes / bytesPerToken / promptTokensPerCost;
@@ -54,7 +61,8 @@
    * offset to go on from; behind any other answer, a second run would be joined to the first.
    */
   get isContinuable(): boolean {
-    return this.#head === undefined || (this.#head.events && this.#head.status === 200);
+    if (this.#head === undefined) return true;
+    return this.#head.events && this.#head.status === 200 && this.#isTextOnly;
   }
 
   /** Tokens handed on over all attempts. */
@@ -91,6 +99,7 @@
   note(data: string): EventKind {
     if (data === streamEnd) return 'endMark';
     const chunk = parse(data);
+    if (chunk === undefined || !isText(chunk)) this.#isTextOnly = false;
     if (chunk === undefined) return 'other';
     const isRepeated = this.#answered && chunk.usage != null;
     if (chunk.usage != null) {
@@ -122,6 +131,23 @@
   }
 }
 
+/** Fields of a delta that the text so far accounts for. */
+const textFields: ReadonlySet<string> = new Set(['role', 'content']);
+
+/** Whether a chunk holds nothing but text of the first choice; a tool call, for one, has no offset. */
+function isText({ choices, usage }: Chunk): boolean {
+  if (!Array.isArray(choices)) return usage != null;
+  return choices.every((choice: Choice | null) => {
+    const { index = 0, delta } = choice ?? {};
+    const fields = Object.entries(delta ?? {});
+    return index === 0 && fields.every(([name, value]) => textFields.has(name) || isEmpty(value));
+  });
+}
+
+function isEmpty(value: unknown): boolean {
+  return value === null || value === '' || (Array.isArray(value) && value.length === 0);
+}
+
 function parse(data: string): Chunk | undefined {
   try {
     const value: unknown = JSON.parse(data);
