Hand each event without text on once, and none of them too few

Callers of a stream that was resumed or continued got its role and its finish reason again with each connection. Callers of an engine that sends its usage with every token got no finish reason at all.

Such events have no offset, so a new connection sends them again. Only the usage was recognised, and by having been seen at all, even on the same connection, which is how the finish reason got lost.

Evidence: two tests of execution.test.ts; the first counted the role three times and the finish reason twice, the second missed the finish reason.

An event without text is now dropped exactly if an earlier connection brought one with the same choices. What one connection sends is handed on as it is.

--- a/packages/coordination/src/attempt.ts
+++ b/packages/coordination/src/attempt.ts
@@ -92,6 +92,7 @@
     caller: AbortSignal | undefined,
     isResumed: boolean,
   ): AsyncGenerator<Piece, Failure | undefined, void> {
+    this.#transcript.nextConnection();
     const guard = this.#guard(caller);
     const pieces = this.#open(isResumed, guard.signal);
     const reading = this.#reading(isResumed);
--- a/packages/coordination/src/execution.test.ts
+++ b/packages/coordination/src/execution.test.ts
@@ -47,7 +47,7 @@
 
   /** The text and the end that the caller got: `whole`, or verdict and reason. */
   async run(entry: string, options: Partial<Call> = {}): Promise<string> {
-    const pieces = await drive(this.clock, this.#collect(entry, options));
+    const pieces = await drive(this.clock, this.collect(entry, options));
     const text = pieces.map(textOf).join('');
     const last = pieces.at(-1);
     if (last?.kind !== 'failed') return `${text}|whole`;
@@ -63,7 +63,8 @@
     return this.permits.finished.map(({ outcome }) => outcome);
   }
 
-  async #collect(entry: string, options: Partial<Call>): Promise<readonly Piece[]> {
+  /** The pieces that the caller got. */
+  async collect(entry: string, options: Partial<Call>): Promise<readonly Piece[]> {
     this.#calls += 1;
     const body = Buffer.from('{"messages":[]}');
     const request = { method: 'POST', path: '/x', headers: {}, body };
@@ -412,6 +413,44 @@
   assert.equal(bench.sent.length, 1);
 });
 
+// Guards against a stream without its finish reason, from an engine that sends its usage all along.
+test('an event without text is handed on though an earlier one of its connection had a usage too', async () => {
+  const usage = { prompt_tokens: 1, completion_tokens: 1 };
+  const events = [
+    { choices: [{ delta: { content: 'a' } }], usage },
+    { choices: [{ delta: {}, finish_reason: 'stop' }], usage },
+  ];
+  const data = [...events.map((event) => JSON.stringify(event)), '[DONE]'];
+  const bench = new Bench([eventHead, { kind: 'events', data }, end]);
+  const pieces = await drive(bench.clock, bench.collect('chat', {}));
+  assert.deepEqual(pieces.at(1), { kind: 'events', data });
+});
+
+// Guards against events that the caller has already, when the connection that brought them breaks.
+test('events without text come once, though a resumed or continued stream sends them again', async () => {
+  const role = { kind: 'events', data: ['{"id":"1","choices":[{"delta":{"role":"assistant"}}]}'] };
+  const stop = {
+    kind: 'events',
+    data: ['{"id":"1","choices":[{"delta":{},"finish_reason":"stop"}]}'],
+  };
+  const [first, last] = [role, stop] as readonly Piece[] as readonly [Piece, Piece];
+  const bench = new Bench(
+    [eventHead, first, lost],
+    [eventHead, first, tokens('a', 'b'), lost],
+    [refused],
+    [eventHead, first, tokens('c'), last, lost],
+    [eventHead, last, lastEvents(10, 3), end],
+  );
+  const pieces = await drive(bench.clock, bench.collect('chat', {}));
+  const events = pieces.flatMap((piece) => (piece.kind === 'events' ? piece.data : []));
+  const count = (text: string): number => events.filter((data) => data.includes(text)).length;
+  assert.deepEqual(
+    [count('role'), count('finish_reason'), count('usage'), count('[DONE]')],
+    [1, 1, 1, 1],
+  );
+  assert.equal(pieces.map(textOf).join(''), 'abc.');
+});
+
 test('nothing is sent with a permit that expired unused', async () => {
   const bench = new Bench(ok);
   bench.permits.expired = 2;
--- a/packages/coordination/src/transcript.ts
+++ b/packages/coordination/src/transcript.ts
@@ -35,7 +35,9 @@
   #tokens = 0;
   #attemptTokens = 0;
   #usage: Usage | undefined;
-  #answered = false;
+  /** What the events without text said, on all connections and on those before this one. */
+  readonly #marks = new Set<string>();
+  #earlierMarks: ReadonlySet<string> = new Set();
   /** The head that was handed on. */
   #head: Head | undefined;
   /** Whether tokens and text tell all that was handed on. */
@@ -90,6 +92,11 @@
     this.#usage = undefined;
   }
 
+  /** Starts another connection, which may bring events that the caller has already. */
+  nextConnection(): void {
+    this.#earlierMarks = new Set(this.#marks);
+  }
+
   /** Notes the head that is handed on. */
   noteHead(head: Head): void {
     this.#head = head;
@@ -101,19 +108,22 @@
     const chunk = parse(data);
     if (chunk === undefined || !isText(chunk)) this.#isTextOnly = false;
     if (chunk === undefined) return 'other';
-    const isRepeated = this.#answered && chunk.usage != null;
-    if (chunk.usage != null) {
-      this.#usage = chunk.usage;
-      this.#answered = true;
-    }
+    if (chunk.usage != null) this.#usage = chunk.usage;
     const content = chunk.choices?.[0]?.delta?.content;
-    if (typeof content !== 'string' || content === '') return isRepeated ? 'repeated' : 'other';
+    if (typeof content !== 'string' || content === '') return this.#noteMark(chunk);
     this.#tokens += 1;
     this.#attemptTokens += 1;
     if (this.#keepsText) this.#text.push(content);
     return 'token';
   }
 
+  /** Events without text have no offset; another connection sends them again, with another id or usage. */
+  #noteMark({ choices, usage }: Chunk): EventKind {
+    const mark = JSON.stringify([choices, usage != null]);
+    this.#marks.add(mark);
+    return this.#earlierMarks.has(mark) ? 'repeated' : 'other';
+  }
+
   /** Notes the usage that a plain JSON answer reports. */
   noteAnswer(body: string): void {
     const usage = parse(body)?.usage;
