--- a/packages/catkinwheeld/src/datapath.test.ts
+++ b/packages/catkinwheeld/src/datapath.test.ts
@@ -1,130 +1,17 @@
 // The whole way from a caller over HTTP to a server and back, with a permit source that grants at once.
 import assert from 'node:assert/strict';
-import { createHash } from 'node:crypto';
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
-import type { AddressInfo } from 'node:net';
-import { after, test } from 'node:test';
-import { Claims, Executor, type PermitSource, type Table } from '@catkinwheel/coordination';
-import type { Row } from '@catkinwheel/protocol';
-import { Clock, emptyCatalogue, type Catalogue, type Entry } from '@catkinwheel/state';
-import { Front, HttpBackend } from '@catkinwheel/transport';
-import { errAsync, okAsync } from 'neverthrow';
-
-const key = 'secret-key';
-const closers: (() => unknown)[] = [];
-after(async () => {
-  for (const close of closers) await close();
-});
+import { test } from 'node:test';
+import { closeAfterTests, headers, listen, memoryTable, start } from './datapathFakes.test.js';
 
 async function serve(
   handle: (incoming: IncomingMessage, outgoing: ServerResponse) => void,
 ): Promise<string> {
   const server = createServer(handle);
-  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
-  closers.push(() => {
-    server.close();
+  closeAfterTests(() => {
     server.closeAllConnections();
   });
-  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
-}
-
-function catalogueOf(engine: string, plain: string, other: string): Catalogue {
-  const entry: Entry = {
-    team: 't',
-    service: 'model',
-    class: 'interactive',
-    idempotent: true,
-    maxWait: 1_000,
-    maxRun: 10_000,
-  };
-  const place = { vm: 'v', dataCentre: 'd', checksFence: true };
-  return {
-    ...emptyCatalogue,
-    revision: 1,
-    services: {
-      model: { kind: 'model', model: 'letters', coldLimit: 1, warmLimit: 2 },
-      desk: { kind: 'plain', coldLimit: 1, warmLimit: 2 },
-    },
-    servers: {
-      e1: { service: 'model', address: engine, ...place },
-      e2: { service: 'model', address: other, ...place },
-      p1: { service: 'desk', address: plain, ...place },
-    },
-    teams: {
-      t: {
-        weight: 1,
-        keys: [createHash('sha256').update(key).digest('hex')],
-        limits: { waiting: 10, waitingBytes: 1e6, inFlight: 10 },
-        waitAlarm: 1_000,
-      },
-    },
-    entries: { chat: entry, desk: { ...entry, service: 'desk', idempotent: false } },
-  };
-}
-
-function permits(): PermitSource {
-  let sequence = 0;
-  return {
-    acquire: ({ service, team, avoid }) => {
-      sequence += 1;
-      const engine = avoid.includes('e1') ? 'e2' : 'e1';
-      const server = service === 'model' ? engine : 'p1';
-      return okAsync({
-        permit: { id: String(sequence), server, fence: 1, service, team, sequence },
-        revoked: new AbortController().signal,
-        begin: () => true,
-        started: () => undefined,
-        progress: () => undefined,
-        finish: () => undefined,
-      });
-    },
-  };
-}
-
-const noTable: Table = {
-  transact: () => errAsync({ kind: 'unavailable', detail: 'down' }),
-  rows: () => errAsync({ kind: 'unavailable', detail: 'down' }),
-};
-
-async function start(
-  engine: string,
-  plain: string,
-  other = engine,
-  table: Table = noTable,
-): Promise<string> {
-  const clock = Clock.system();
-  const metrics = { count: () => undefined, gauge: () => undefined, timing: () => undefined };
-  const catalogue = { current: () => catalogueOf(engine, plain, other) };
-  const backend = HttpBackend.create();
-  const claims = Claims.create({
-    table,
-    sessions: { isLive: () => Promise.resolve('unknown') },
-    self: { name: 'r1', incarnation: 'i1' },
-    clock,
-    metrics,
-  });
-  const executor = Executor.create({
-    catalogue,
-    permits: permits(),
-    backend,
-    claims,
-    clock,
-    metrics,
-    random: () => 0.5,
-  });
-  const front = Front.create({
-    host: '127.0.0.1',
-    port: 0,
-    catalogue,
-    status: { refusal: () => undefined, routers: () => [] },
-    run: (call, caller) => executor.run(call, caller),
-    metrics,
-    directoryTtl: 5_000,
-  });
-  const port = await front.listen();
-  closers.push(() => front.close());
-  closers.push(() => backend.close());
-  return `http://127.0.0.1:${port}`;
+  return listen(server);
 }
 
 function engine(incoming: IncomingMessage, outgoing: ServerResponse): void {
@@ -149,10 +36,8 @@
   });
 }
 
-const headers = { authorization: `Bearer ${key}` };
-
 test('a chat stream reaches its caller whole, with its end mark', async () => {
-  const url = await start(await serve(engine), await serve(plain));
+  const url = await start({ e1: await serve(engine), p1: await serve(plain) });
   const answer = await fetch(`${url}/v1/chat/completions`, {
     method: 'POST',
     headers,
@@ -164,7 +49,7 @@
 });
 
 test('a plain call passes on method, path, query and body', async () => {
-  const url = await start(await serve(engine), await serve(plain));
+  const url = await start({ e1: await serve(engine), p1: await serve(plain) });
   const answer = await fetch(`${url}/v1/services/desk/cats?id=1`, {
     method: 'PUT',
     headers,
@@ -174,7 +59,7 @@
 });
 
 test('keyed work is refused as not run while the platform is down', async () => {
-  const url = await start(await serve(engine), await serve(plain));
+  const url = await start({ e1: await serve(engine), p1: await serve(plain) });
   const answer = await fetch(`${url}/v1/services/desk/pay`, {
     method: 'POST',
     headers: { ...headers, 'idempotency-key': 'k' },
@@ -240,7 +125,7 @@
 ];
 for (const [name, first, second] of streams) {
   test(`a stream that ${name} reaches its caller whole and once`, async () => {
-    const url = await start(await serve(first), await serve(plain), await serve(second));
+    const url = await start({ e1: await serve(first), e2: await serve(second) });
     const body = JSON.stringify({ model: 'chat', stream: true, messages: [] });
     const answer = await fetch(`${url}/v1/chat/completions`, { method: 'POST', headers, body });
     const text = await answer.text();
@@ -257,7 +142,7 @@
       else silentAt7(incoming, outgoing);
     };
     void serve(inOrder(handle)).then(async (address) => {
-      const url = await start(address, address);
+      const url = await start({ e1: address });
       const abort = new AbortController();
       const body = JSON.stringify({ model: 'chat', stream: true });
       const init = { method: 'POST', headers, body, signal: abort.signal };
@@ -269,32 +154,13 @@
   assert.match(await cancelled, /^\/v1\/streams\/.+\.1$/);
 });
 
-/** A table without faults. */
-function memoryTable(): Table {
-  const rows = new Map<string, Row>();
-  let version = 0;
-  return {
-    transact: ({ checks, puts, deletes }) => {
-      const keys = checks
-        .filter((check) => (rows.get(check.key)?.version ?? 0) !== check.version)
-        .map((check) => check.key);
-      if (keys.length > 0) return errAsync({ kind: 'conflict', keys });
-      version += 1;
-      for (const { key, value } of puts) rows.set(key, { key, version, value });
-      for (const key of deletes) rows.delete(key);
-      return okAsync({ version });
-    },
-    rows: (prefix) => okAsync([...rows.values()].filter(({ key }) => key.startsWith(prefix))),
-  };
-}
-
 test('a reused idempotency key gets the recorded answer, and is refused for another body', async () => {
   let executions = 0;
   const pay: Handle = (incoming, outgoing) => {
     executions += 1;
     plain(incoming, outgoing);
   };
-  const url = await start(await serve(engine), await serve(pay), undefined, memoryTable());
+  const url = await start({ e1: await serve(engine), p1: await serve(pay) }, memoryTable());
   const ask = (body: string): Promise<Response> =>
     fetch(`${url}/v1/services/desk/pay`, {
       method: 'POST',
