Refuse an answer whose transfer coding is not chunks

A caller got a body that may have been cut off as a whole one, or one in a coding of which it was not told.

An answer counted as framed if it had any transfer coding. Without chunks the body ends with its connection, so that a close in the middle looks like the end. With another coding below the chunks, its field is dropped as one of the connection while the body stays coded.

Evidence: two cases of answers.test.ts; the callers got 200 with the body as it was. Only chunks alone, or else a length, now count as framing; other answers are truncated ones, as those without framing are.

--- a/packages/catkinwheeld/src/answers.test.ts
+++ b/packages/catkinwheeld/src/answers.test.ts
@@ -344,6 +344,24 @@
     again: '200 second',
     kept: true,
   },
+  {
+    name: 'an answer with a coding that is not chunks',
+    first: (socket, request) => socket.end(`${head(request, 'transfer-encoding: gzip\r\n')}part`),
+    once: '502 truncatedAnswer',
+    again: '200 second',
+    kept: true,
+  },
+  {
+    // Its caller would not learn of the coding, which ends with the connection to the server.
+    name: 'an answer with a coding besides chunks',
+    first: (socket, request) =>
+      socket.write(
+        `${head(request, 'transfer-encoding: gzip, chunked\r\n')}${chunk('part')}0\r\n\r\n`,
+      ),
+    once: '502 truncatedAnswer',
+    again: '200 second',
+    kept: true,
+  },
   {
     name: 'an answer that changes the protocol',
     first: (socket, request) =>
--- a/packages/transport/src/exchange.ts
+++ b/packages/transport/src/exchange.ts
@@ -102,9 +102,7 @@
       return;
     }
     const isEmpty = this.#isHeadRequest || status === 204 || status === 304;
-    const isFramed =
-      headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
-    if (!isEmpty && !isFramed) {
+    if (!isEmpty && !isFramed(headers)) {
       this.#end(mayHaveRun('truncatedAnswer', 'the answer declares neither length nor chunks'));
       return;
     }
@@ -202,6 +200,16 @@
   }
 }
 
+/**
+ * Whether the end of the body can be told from the end of the connection. Another transfer coding than
+ * chunks, even below them, would also have to be undone here, since its field goes no further.
+ */
+function isFramed(headers: Headers): boolean {
+  const coding = headers['transfer-encoding'];
+  if (coding === undefined) return headers['content-length'] !== undefined;
+  return typeof coding === 'string' && coding.trim().toLowerCase() === 'chunked';
+}
+
 /** Name and code of an error without the addresses it may contain. */
 function describe(error: Error): string {
   const code = 'code' in error && typeof error.code === 'string' ? ` (${error.code})` : '';
