Take an answer without a body as whole with its head

Callers of a plain service got 502, or the answer of a second server, where the first had answered 304 or 204 with a Content-Length, and each such answer cost a connection to the server. RFC 9110 allows the length on a 304, which is the usual answer to a conditional GET.

undici compares the declared length with the bytes that came, also where the status allows none, and breaks the connection off.

Evidence: three cases of answers.test.ts. The exchange now ends such an answer at its head, which is where it is whole. A 204 goes on without the length: callers that believe it wait for bytes on a connection that is kept.

--- a/packages/catkinwheeld/src/answers.test.ts
+++ b/packages/catkinwheeld/src/answers.test.ts
@@ -416,6 +416,31 @@
     again: '204 length none',
     kept: true,
   },
+  {
+    // RFC 9110 forbids the length, and a caller that believes it waits for the bytes.
+    name: 'a status without a body that declares a length',
+    first: (socket, request) =>
+      socket.write(head(request, 'content-length: 4\r\n', '204 No Content')),
+    once: '204 length none',
+    again: '204 length none',
+    kept: true,
+  },
+  {
+    name: 'a status without a body that has one all the same',
+    first: (socket, request) =>
+      socket.write(`${head(request, 'content-length: 4\r\n', '204 No Content')}part`),
+    once: '204 length none',
+    again: '204 length none',
+    kept: true,
+  },
+  {
+    name: 'the length of what has not changed',
+    first: (socket, request) =>
+      socket.write(head(request, 'content-length: 4\r\n', '304 Not Modified')),
+    once: '304 length 4',
+    again: '304 length 4',
+    kept: true,
+  },
   {
     name: 'the length that a head alone declares',
     method: 'HEAD',
--- a/packages/transport/src/exchange.ts
+++ b/packages/transport/src/exchange.ts
@@ -112,6 +112,8 @@
     if (events) this.#startEvents();
     const head: Head = { kind: 'head', status, headers: answerFields(headers), events };
     this.#push(head);
+    // undici waits for the bytes of a declared length, though such an answer has none.
+    if (isEmpty) this.onResponseEnd();
   }
 
   onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
--- a/packages/transport/src/headers.ts
+++ b/packages/transport/src/headers.ts
@@ -36,9 +36,13 @@
   return without(fields, none);
 }
 
-/** Fields of an accepted answer as its caller gets them. Events are framed anew, so their length changes. */
+/**
+ * Fields of an accepted answer as its caller gets them. Events are framed anew, so their length changes,
+ * and a 204 has no length (RFC 9110, section 8.6); some callers would wait for the bytes.
+ */
 export function callerFields(head: Head): HeaderFields {
-  return without(head.headers, head.events ? attemptAndLength : attemptOnly);
+  const hasLength = !head.events && head.status !== 204;
+  return without(head.headers, hasLength ? attemptOnly : attemptAndLength);
 }
 
 /** The attempt's id; the caller gets that of the request. */
