Close the connection on which the answer to another request came

Callers of a plain service got 502 answerMismatch for one request after the other where a server had once answered twice. No answer went to the wrong caller, since the execution compares the ids, but every later request on that connection got the answer before its own.

The mismatched answer was read to its end, so undici kept the connection, on which the server was one answer ahead.

The exchange now compares the id itself, and an exchange that fails at the head closes its connection. The id is optional for the platform's router, which has ids of its own.

--- a/packages/transport/src/backend.ts
+++ b/packages/transport/src/backend.ts
@@ -35,7 +35,8 @@
   send(address: string, attempt: Attempt, signal: AbortSignal): AsyncGenerator<Piece, void, void> {
     const { method, path, headers, body } = attempt.request;
     const fields = { ...headers, [requestIdField]: attempt.id };
-    return this.#exchange(address, { method, path, headers: fields, body }, attempt.body, signal);
+    const request = { method, path, headers: fields, body };
+    return this.#exchange(address, attempt.id, request, attempt.body, signal);
   }
 
   /** Continues the stream of an attempt after `offset` tokens, on a new connection. */
@@ -50,7 +51,7 @@
     const path = `/v1/streams/${encodeURIComponent(attempt)}?offset=${offset}`;
     const headers = { [requestIdField]: attempt };
     const request = { method: 'GET', path, headers, body: null };
-    return this.#exchange(address, request, 'events', signal);
+    return this.#exchange(address, attempt, request, 'events', signal);
   }
 
   /** Asks the server to stop working on an attempt. Best effort; never rejects. */
@@ -77,13 +78,15 @@
 
   #exchange(
     address: string,
+    id: string,
     request: ServerRequest,
     body: Attempt['body'],
     signal: AbortSignal,
   ): AsyncGenerator<Piece, void, void> {
-    const exchange = Exchange.create(request.method, body === 'events', signal, () => {
+    const onCancel = (): void => {
       if (hungReasons.has(signal.reason)) this.#retire(address);
-    });
+    };
+    const exchange = Exchange.create(request.method, body === 'events', signal, onCancel, id);
     this.#pool(address).dispatch(optionsOf(request), exchange);
     return exchange.pieces();
   }
--- a/packages/transport/src/exchange.ts
+++ b/packages/transport/src/exchange.ts
@@ -2,7 +2,7 @@
 // and knows exactly whether the first byte of the request may have left.
 
 import { StringDecoder } from 'node:string_decoder';
-import type { Head, Piece } from '@catkinwheel/protocol';
+import { requestIdField, type Head, type Piece } from '@catkinwheel/protocol';
 import type { Failure } from '@catkinwheel/state';
 import { mayHaveRun, notRun } from '@catkinwheel/state';
 import { createParser, type EventSourceParser } from 'eventsource-parser';
@@ -24,6 +24,7 @@
   readonly #isHeadRequest: boolean;
   readonly #signal: AbortSignal;
   readonly #onCancel: () => void;
+  readonly #id: string | undefined;
   readonly #onAbort = (): void => {
     this.#fail(new Error('cancelled'));
     this.#onCancel();
@@ -44,22 +45,28 @@
     parsesEvents: boolean,
     signal: AbortSignal,
     onCancel: () => void,
+    id: string | undefined,
   ) {
     this.#onCancel = onCancel;
+    this.#id = id;
     this.#isHeadRequest = method === 'HEAD';
     this.#parsesEvents = parsesEvents;
     this.#signal = signal;
     signal.addEventListener('abort', this.#onAbort, { once: true });
   }
 
-  /** Aborting `signal` closes the connection and calls `onCancel`. */
+  /**
+   * Aborting `signal` closes the connection and calls `onCancel`. An answer that does not echo `id`, if
+   * given, is refused.
+   */
   static create(
     method: string,
     parsesEvents: boolean,
     signal: AbortSignal,
     onCancel: () => void,
+    id?: string,
   ): Exchange {
-    return new Exchange(method, parsesEvents, signal, onCancel);
+    return new Exchange(method, parsesEvents, signal, onCancel, id);
   }
 
   /** The pieces of the answer; the last one is `end` or `failed`. */
@@ -101,6 +108,11 @@
         this.#end(mayHaveRun('truncatedAnswer', 'interim answers without end'));
       return;
     }
+    if (this.#id !== undefined && headers[requestIdField] !== this.#id) {
+      // What the server sends next may be one answer behind too, so the connection is not kept.
+      this.#end(mayHaveRun('answerMismatch', 'the server answered with the id of another request'));
+      return;
+    }
     const isEmpty = this.#isHeadRequest || status === 204 || status === 304;
     if (!isEmpty && !isFramed(headers)) {
       this.#end(mayHaveRun('truncatedAnswer', 'the answer declares neither length nor chunks'));
