--- a/packages/coordination/src/execution.test.ts
+++ b/packages/coordination/src/execution.test.ts
@@ -47,7 +47,7 @@
 
   /** The text and the end that the caller got: `whole`, or verdict and reason. */
   async run(entry: string, options: Partial<Call> = {}): Promise<string> {
-    const pieces = await drive(this.clock, this.#collect(entry, options));
+    const pieces = await drive(this.clock, this.collect(entry, options));
     const text = pieces.map(textOf).join('');
     const last = pieces.at(-1);
     if (last?.kind !== 'failed') return `${text}|whole`;
@@ -63,7 +63,8 @@
     return this.permits.finished.map(({ outcome }) => outcome);
   }
 
-  async #collect(entry: string, options: Partial<Call>): Promise<readonly Piece[]> {
+  /** The pieces that the caller got. */
+  async collect(entry: string, options: Partial<Call>): Promise<readonly Piece[]> {
     this.#calls += 1;
     const body = Buffer.from('{"messages":[]}');
     const request = { method: 'POST', path: '/x', headers: {}, body };
@@ -232,6 +233,48 @@
     got: 'part|mayHaveRun connectionLost',
     sent: ['send a1 0'],
   },
+  // Guards against events of a second run behind the plain answer of the first.
+  {
+    name: 'a plain answer to a request for a stream is neither resumed nor repeated once a part was handed on',
+    entry: 'chat',
+    scripts: [[plainHead(200), bytes('part'), lost], rest, whole],
+    got: 'part|mayHaveRun connectionLost',
+    sent: ['send a1 0', 'cancel a1 0'],
+  },
+  // Guards against the events of a run that goes well under the status of one that failed.
+  {
+    name: 'a stream of events with an error status is neither resumed nor repeated once a part was handed on',
+    entry: 'chat',
+    scripts: [[{ ...eventHead, status: 500 }, tokens('a'), lost], rest, whole],
+    got: 'a|mayHaveRun connectionLost',
+    sent: ['send a1 0', 'cancel a1 0'],
+  },
+  // Guards against streams that are given up, or end with an internal error, for an event that says nothing.
+  ...[
+    '{"choices":[{"index":0,"delta":{"role":"assistant","content":"","tool_calls":[],"refusal":null}}]}',
+    '{"choices":[{"delta":null},null]}',
+    '{"choices":[],"usage":null}',
+  ].map((data) => ({
+    name: `a stream is resumed behind the event ${data}`,
+    entry: 'chat',
+    scripts: [[eventHead, { kind: 'events', data: [data] }, lost], rest] as const,
+    got: 'c.|whole',
+    sent: ['send a1 0', 'resume a1 0'],
+  })),
+  // Guards against two runs in one stream: an offset in tokens and a text say nothing of such events.
+  ...[
+    '{"choices":[{"delta":{"tool_calls":[{"function":{"arguments":"{"}}]}}]}',
+    '{"choices":[{"index":1,"delta":{"content":""}}]}',
+    '{"error":{"message":"out of memory"}}',
+    '{"choices":{"delta":{}}}',
+    'no JSON',
+  ].map((data) => ({
+    name: `a stream is neither resumed nor repeated behind the event ${data}`,
+    entry: 'chat',
+    scripts: [[eventHead, { kind: 'events', data: [data] }, lost], rest, whole] as const,
+    got: '|mayHaveRun connectionLost',
+    sent: ['send a1 0', 'cancel a1 0'],
+  })),
   {
     name: 'a request that runs longer than maxRun is cancelled and not repeated',
     entry: 'read',
@@ -342,6 +385,72 @@
   assert.deepEqual(bench.outcomes, ['cancelled', 'used']);
 });
 
+// Guards against a second body behind the part that the caller has.
+test('a plain answer whose permit is revoked after a part was handed on is not repeated', async () => {
+  const bench = new Bench([plainHead(200), bytes('part'), 'hang'], ok);
+  const running = bench.run('read');
+  await bench.clock.advance(500);
+  bench.permits.revocations[0]?.abort();
+  assert.equal(await running, 'part|mayHaveRun revoked');
+  assert.deepEqual(bench.sent, ['send a1 0']);
+});
+
+// Guards against a second body behind the part that the caller has.
+test('a plain answer that falls silent after a part was handed on is not repeated', async () => {
+  const slow: readonly Step[] = [plainHead(200, { 'content-length': '2' }), 500, bytes('ok'), end];
+  const answers = Array.from({ length: 50 }, () => slow);
+  const bench = new Bench(...answers, [plainHead(200), bytes('part'), 'hang'], ok);
+  for (let count = 0; count < 50; count += 1) await bench.run('read');
+  assert.equal(await bench.run('read'), 'part|mayHaveRun silentConnection');
+  assert.equal(bench.sent.length, 51);
+});
+
+// Guards against a recorded answer that is made of the parts of two runs.
+test('keyed work that was cut after a part was handed on is not sent again, and no part is recorded', async () => {
+  const bench = new Bench([plainHead(200), bytes('part'), bytes('more'), lost], ok);
+  assert.equal(await bench.run('pay', { key: 'k' }), 'part|mayHaveRun connectionLost');
+  assert.equal(await bench.run('pay', { key: 'k' }), '|mayHaveRun claimUnresolved');
+  assert.equal(bench.sent.length, 1);
+});
+
+// Guards against a stream without its finish reason, from an engine that sends its usage all along.
+test('an event without text is handed on though an earlier one of its connection had a usage too', async () => {
+  const usage = { prompt_tokens: 1, completion_tokens: 1 };
+  const events = [
+    { choices: [{ delta: { content: 'a' } }], usage },
+    { choices: [{ delta: {}, finish_reason: 'stop' }], usage },
+  ];
+  const data = [...events.map((event) => JSON.stringify(event)), '[DONE]'];
+  const bench = new Bench([eventHead, { kind: 'events', data }, end]);
+  const pieces = await drive(bench.clock, bench.collect('chat', {}));
+  assert.deepEqual(pieces.at(1), { kind: 'events', data });
+});
+
+// Guards against events that the caller has already, when the connection that brought them breaks.
+test('events without text come once, though a resumed or continued stream sends them again', async () => {
+  const role = { kind: 'events', data: ['{"id":"1","choices":[{"delta":{"role":"assistant"}}]}'] };
+  const stop = {
+    kind: 'events',
+    data: ['{"id":"1","choices":[{"delta":{},"finish_reason":"stop"}]}'],
+  };
+  const [first, last] = [role, stop] as readonly Piece[] as readonly [Piece, Piece];
+  const bench = new Bench(
+    [eventHead, first, lost],
+    [eventHead, first, tokens('a', 'b'), lost],
+    [refused],
+    [eventHead, first, tokens('c'), last, lost],
+    [eventHead, last, lastEvents(10, 3), end],
+  );
+  const pieces = await drive(bench.clock, bench.collect('chat', {}));
+  const events = pieces.flatMap((piece) => (piece.kind === 'events' ? piece.data : []));
+  const count = (text: string): number => events.filter((data) => data.includes(text)).length;
+  assert.deepEqual(
+    [count('role'), count('finish_reason'), count('usage'), count('[DONE]')],
+    [1, 1, 1, 1],
+  );
+  assert.equal(pieces.map(textOf).join(''), 'abc.');
+});
+
 test('nothing is sent with a permit that expired unused', async () => {
   const bench = new Bench(ok);
   bench.permits.expired = 2;
--- a/packages/coordination/src/transcript.ts
+++ b/packages/coordination/src/transcript.ts
@@ -1,7 +1,7 @@
 // What a stream has handed on so far. It decides at which token a cut stream resumes, from which text
 // another server continues, and what the request has cost up to now.
 
-import { streamEnd, type ServerRequest } from '@catkinwheel/protocol';
+import { streamEnd, type Head, type ServerRequest } from '@catkinwheel/protocol';
 import type { Cost } from '@catkinwheel/state';
 
 /** Prompt tokens that cost as much as one generated token. */
@@ -14,8 +14,13 @@
   readonly completion_tokens?: number;
 }
 
+interface Choice {
+  readonly index?: number;
+  readonly delta?: Readonly<Record<string, unknown>> | null;
+}
+
 interface Chunk {
-  readonly choices?: readonly { readonly delta?: { readonly content?: unknown } }[];
+  readonly choices?: readonly (Choice | null)[];
   readonly usage?: Usage | null;
 }
 
@@ -24,15 +29,19 @@
 
 /** Tokens and text of one answer, over all servers that contributed to it. */
 export class Transcript {
-  /** Whether the head of an answer was handed on. */
-  hasHead = false;
   readonly #promptCost: Cost;
   readonly #keepsText: boolean;
   #text: string[] = [];
   #tokens = 0;
   #attemptTokens = 0;
   #usage: Usage | undefined;
-  #answered = false;
+  /** What the events without text said, on all connections and on those before this one. */
+  readonly #marks = new Set<string>();
+  #earlierMarks: ReadonlySet<string> = new Set();
+  /** The head that was handed on. */
+  #head: Head | undefined;
+  /** Whether tokens and text tell all that was handed on. */
+  #isTextOnly = true;
 
   private constructor(promptBytes: number, keepsText: boolean) {
     this.#promptCost = promptBytes / bytesPerToken / promptTokensPerCost;
@@ -44,6 +53,20 @@
     return new Transcript(promptBytes, keepsText);
   }
 
+  /** Whether the head of an answer was handed on. */
+  get hasHead(): boolean {
+    return this.#head !== undefined;
+  }
+
+  /**
+   * Whether another connection can go on behind what was handed on. Only a stream of tokens has an
+   * offset to go on from; behind any other answer, a second run would be joined to the first.
+   */
+  get isContinuable(): boolean {
+    if (this.#head === undefined) return true;
+    return this.#head.events && this.#head.status === 200 && this.#isTextOnly;
+  }
+
   /** Tokens handed on over all attempts. */
   get tokens(): number {
     return this.#tokens;
@@ -69,24 +92,38 @@
     this.#usage = undefined;
   }
 
+  /** Starts another connection, which may bring events that the caller has already. */
+  nextConnection(): void {
+    this.#earlierMarks = new Set(this.#marks);
+  }
+
+  /** Notes the head that is handed on. */
+  noteHead(head: Head): void {
+    this.#head = head;
+  }
+
   /** Notes an event and says whether it belongs into the answer. */
   note(data: string): EventKind {
     if (data === streamEnd) return 'endMark';
     const chunk = parse(data);
+    if (chunk === undefined || !isText(chunk)) this.#isTextOnly = false;
     if (chunk === undefined) return 'other';
-    const isRepeated = this.#answered && chunk.usage != null;
-    if (chunk.usage != null) {
-      this.#usage = chunk.usage;
-      this.#answered = true;
-    }
+    if (chunk.usage != null) this.#usage = chunk.usage;
     const content = chunk.choices?.[0]?.delta?.content;
-    if (typeof content !== 'string' || content === '') return isRepeated ? 'repeated' : 'other';
+    if (typeof content !== 'string' || content === '') return this.#noteMark(chunk);
     this.#tokens += 1;
     this.#attemptTokens += 1;
     if (this.#keepsText) this.#text.push(content);
     return 'token';
   }
 
+  /** Events without text have no offset; another connection sends them again, with another id or usage. */
+  #noteMark({ choices, usage }: Chunk): EventKind {
+    const mark = JSON.stringify([choices, usage != null]);
+    this.#marks.add(mark);
+    return this.#earlierMarks.has(mark) ? 'repeated' : 'other';
+  }
+
   /** Notes the usage that a plain JSON answer reports. */
   noteAnswer(body: string): void {
     const usage = parse(body)?.usage;
@@ -104,6 +141,23 @@
   }
 }
 
+/** Fields of a delta that the text so far accounts for. */
+const textFields: ReadonlySet<string> = new Set(['role', 'content']);
+
+/** Whether a chunk holds nothing but text of the first choice; a tool call, for one, has no offset. */
+function isText({ choices, usage }: Chunk): boolean {
+  if (!Array.isArray(choices)) return usage != null;
+  return choices.every((choice: Choice | null) => {
+    const { index = 0, delta } = choice ?? {};
+    const fields = Object.entries(delta ?? {});
+    return index === 0 && fields.every(([name, value]) => textFields.has(name) || isEmpty(value));
+  });
+}
+
+function isEmpty(value: unknown): boolean {
+  return value === null || value === '' || (Array.isArray(value) && value.length === 0);
+}
+
 function parse(data: string): Chunk | undefined {
   try {
     const value: unknown = JSON.parse(data);
--- a/packages/transport/src/exchange.ts
+++ b/packages/transport/src/exchange.ts
@@ -2,7 +2,7 @@
 // and knows exactly whether the first byte of the request may have left.
 
 import { StringDecoder } from 'node:string_decoder';
-import type { Head, Piece } from '@catkinwheel/protocol';
+import { requestIdField, type Head, type Piece } from '@catkinwheel/protocol';
 import type { Failure } from '@catkinwheel/state';
 import { mayHaveRun, notRun } from '@catkinwheel/state';
 import { createParser, type EventSourceParser } from 'eventsource-parser';
@@ -24,6 +24,7 @@
   readonly #isHeadRequest: boolean;
   readonly #signal: AbortSignal;
   readonly #onCancel: () => void;
+  readonly #id: string | undefined;
   readonly #onAbort = (): void => {
     this.#fail(new Error('cancelled'));
     this.#onCancel();
@@ -44,22 +45,28 @@
     parsesEvents: boolean,
     signal: AbortSignal,
     onCancel: () => void,
+    id: string | undefined,
   ) {
     this.#onCancel = onCancel;
+    this.#id = id;
     this.#isHeadRequest = method === 'HEAD';
     this.#parsesEvents = parsesEvents;
     this.#signal = signal;
     signal.addEventListener('abort', this.#onAbort, { once: true });
   }
 
-  /** Aborting `signal` closes the connection and calls `onCancel`. */
+  /**
+   * Aborting `signal` closes the connection and calls `onCancel`. An answer that does not echo `id`, if
+   * given, is refused.
+   */
   static create(
     method: string,
     parsesEvents: boolean,
     signal: AbortSignal,
     onCancel: () => void,
+    id?: string,
   ): Exchange {
-    return new Exchange(method, parsesEvents, signal, onCancel);
+    return new Exchange(method, parsesEvents, signal, onCancel, id);
   }
 
   /** The pieces of the answer; the last one is `end` or `failed`. */
@@ -101,10 +108,13 @@
         this.#end(mayHaveRun('truncatedAnswer', 'interim answers without end'));
       return;
     }
+    if (this.#id !== undefined && headers[requestIdField] !== this.#id) {
+      // What the server sends next may be one answer behind too, so the connection is not kept.
+      this.#end(mayHaveRun('answerMismatch', 'the server answered with the id of another request'));
+      return;
+    }
     const isEmpty = this.#isHeadRequest || status === 204 || status === 304;
-    const isFramed =
-      headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
-    if (!isEmpty && !isFramed) {
+    if (!isEmpty && !isFramed(headers)) {
       this.#end(mayHaveRun('truncatedAnswer', 'the answer declares neither length nor chunks'));
       return;
     }
@@ -114,6 +124,8 @@
     if (events) this.#startEvents();
     const head: Head = { kind: 'head', status, headers: answerFields(headers), events };
     this.#push(head);
+    // undici waits for the bytes of a declared length, though such an answer has none.
+    if (isEmpty) this.onResponseEnd();
   }
 
   onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
@@ -202,6 +214,16 @@
   }
 }
 
+/**
+ * Whether the end of the body can be told from the end of the connection. Another transfer coding than
+ * chunks, even below them, would also have to be undone here, since its field goes no further.
+ */
+function isFramed(headers: Headers): boolean {
+  const coding = headers['transfer-encoding'];
+  if (coding === undefined) return headers['content-length'] !== undefined;
+  return typeof coding === 'string' && coding.trim().toLowerCase() === 'chunked';
+}
+
 /** Name and code of an error without the addresses it may contain. */
 function describe(error: Error): string {
   const code = 'code' in error && typeof error.code === 'string' ? ` (${error.code})` : '';
