Let stand-in servers answer twice, late, in raw bytes and without a body

Stand-ins could only break answers off in four ways. They now send second answers, failures and refusals behind an answer or later on the same connection, with and without an id, bytes beyond the declared length, chunks that end with the connection, 204, 304, and bodies with an encoding. They keep which answers they sent whole, so that tests can compare bodies.

--- a/packages/standins/src/stack/brokenAnswers.test.ts
+++ b/packages/standins/src/stack/brokenAnswers.test.ts
@@ -6,7 +6,7 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import { CallerConnection, type Answer, type PlainRequest } from './callerConnection.js';
 import { StackFleet, names } from './fleet.js';
-import type { Behaviour } from './server.js';
+import type { Behaviour } from './behaviour.js';
 
 let fleet: StackFleet;
 let connection: CallerConnection;
--- a/packages/standins/src/stack/endless.test.ts
+++ b/packages/standins/src/stack/endless.test.ts
@@ -10,7 +10,8 @@
 import { call, type CallResult } from './caller.js';
 import { StackFleet, freePorts, modelFields, names, until } from './fleet.js';
 import { RouterProcess } from './routerProcess.js';
-import type { EndlessBehaviour, StackServer } from './server.js';
+import type { EndlessBehaviour } from './behaviour.js';
+import type { StackServer } from './server.js';
 
 /** Time limit of the routes here, and half a second after it in which a request has its final answer. */
 const answerWithin = 3_500;
--- a/packages/standins/src/stack/server.ts
+++ b/packages/standins/src/stack/server.ts
@@ -5,86 +5,10 @@
 import type { AddressInfo } from 'node:net';
 import type { Socket } from 'node:net';
 import { setTimeout as pause } from 'node:timers/promises';
-
-/** How a server treats one request. */
-export type Behaviour =
-  | 'answers'
-  /** 503 with the promise that it has not run. */
-  | 'refuses'
-  /** 500 after it ran. */
-  | 'errors'
-  /** Runs it and resets the connection. */
-  | 'resets'
-  /** Ends the connection in the middle of the answer. */
-  | 'cuts'
-  /** Sends an answer without length and resets its connection before the end. */
-  | 'resetsUnframed'
-  /** Sends chunks with `Connection: close` and resets its connection before the last one. */
-  | 'resetsChunked'
-  /** Sends an answer without length and closes its connection in order. */
-  | 'closesUnframed'
-  /** Answers in the name of another request. */
-  | 'confuses'
-  /** Runs it and never answers. */
-  | 'hangs'
-  | EndlessBehaviour;
-
-/** Bytes that go on until the caller closes; where they stand in the answer. */
-export type EndlessBehaviour =
-  /** Bytes of no protocol. */
-  | 'endlessNoise'
-  /** Fields of a head. */
-  | 'endlessHead'
-  /** Interim answers before the final one. */
-  | 'endlessInterim'
-  /** The body of a refusal that promises that the request has not run. */
-  | 'endlessRefusal'
-  /** The body of a failure. */
-  | 'endlessFailure'
-  /** The extension of a chunk. */
-  | 'endlessExtension'
-  /** One event of a stream. */
-  | 'endlessEvent'
-  /** Fields behind the last chunk. */
-  | 'endlessTrailer';
-
-/** What is sent first and what is repeated. */
-function endless(
-  behaviour: EndlessBehaviour,
-  id: string,
-  server: string,
-): { readonly first: string; readonly again: string } {
-  const ids = `Request-Id: ${id}\r\nResponse-Seal: seal-${server}\r\n`;
-  const chunked = 'Transfer-Encoding: chunked\r\n\r\n';
-  const chunk = `400\r\n${'x'.repeat(1_024)}\r\n`;
-  switch (behaviour) {
-    case 'endlessNoise':
-      return { first: '', again: '\0'.repeat(1_024) };
-    case 'endlessHead':
-      return { first: `HTTP/1.1 200 OK\r\n${ids}`, again: `X-Field: ${'x'.repeat(1_000)}\r\n` };
-    case 'endlessInterim':
-      return { first: '', again: 'HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n' };
-    case 'endlessRefusal':
-      return {
-        first: `HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nRequest-Id: ${id}\r\n${chunked}`,
-        again: chunk,
-      };
-    case 'endlessFailure':
-      return { first: `HTTP/1.1 500 Failed\r\n${ids}${chunked}`, again: chunk };
-    case 'endlessExtension':
-      return { first: `HTTP/1.1 200 OK\r\n${ids}${chunked}5;x=`, again: 'y'.repeat(1_024) };
-    case 'endlessEvent':
-      return {
-        first: `HTTP/1.1 200 OK\r\n${ids}Content-Type: text/event-stream\r\n${chunked}`,
-        again: chunk,
-      };
-    case 'endlessTrailer':
-      return {
-        first: `HTTP/1.1 200 OK\r\n${ids}${chunked}2\r\nok\r\n0\r\n`,
-        again: `X-Field: ${'x'.repeat(1_000)}\r\n`,
-      };
-  }
-}
+import { gzipSync } from 'node:zlib';
+import type { Milliseconds } from '@catkinwheel/state';
+import type { Behaviour, BrokenBehaviour, EndlessBehaviour, ExtraBytes } from './behaviour.js';
+import { brokenAnswer, endlessBytes, extraBytes, type Content } from './rawAnswers.js';
 
 /** A request as the server saw it. */
 export interface SeenRequest {
@@ -97,14 +21,35 @@
   readonly at: number;
 }
 
+/** An answer that the server sent to its end. */
+export interface GivenAnswer {
+  readonly id: string;
+  readonly status: number;
+  readonly body: string;
+}
+
 /** Events of a stream of the stand-in. */
 export const streamLength = 6;
 
+/** Time between the parts of an answer that breaks off, so that the router hands the first one on. */
+const partPause: Milliseconds = 20;
+/** Shortest time after which an answer comes twice, the step to the next time, and the longest. */
+const late = { least: 30, step: 37, most: 200 } as const;
+
+/** What the behaviours need of a request. */
+interface Exchange {
+  readonly content: Content;
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+}
+
 /** A running stand-in of a server. */
 export class StackServer {
   readonly seen: SeenRequest[] = [];
   /** Ids of the requests that it ran, whatever became of the answers. */
   readonly ran: string[] = [];
+  /** Answers with the server's seal that were sent whole. */
+  readonly given: GivenAnswer[] = [];
   /** Requests whose callers left before the answer was complete. */
   readonly left: string[] = [];
   /** How the next requests are treated; requests after them are answered. */
@@ -116,6 +61,9 @@
   eventPause = 5;
   /** When the connection of an answer without end was closed by its caller, by request id. */
   readonly closed = new Map<string, number>();
+  /** Bytes that come with the next request on their connection at the latest. */
+  readonly #pending = new Map<Socket, string>();
+  #lateAnswers = 0;
 
   private constructor(
     readonly id: string,
@@ -136,6 +84,11 @@
     return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
   }
 
+  /** Connections on which bytes beyond an answer are still to come. */
+  get pending(): number {
+    return this.#pending.size;
+  }
+
   /** The entry that the server writes to the store. */
   entry(service: string, changes: Readonly<Record<string, unknown>> = {}): unknown {
     return {
@@ -152,26 +105,33 @@
     };
   }
 
-  async close(): Promise<void> {
+  /** Ends all connections, with the bytes that are still to come on them. */
+  dropConnections(): void {
+    this.#pending.clear();
     this.server.closeAllConnections();
+  }
+
+  async close(): Promise<void> {
+    this.dropConnections();
     await new Promise((resolve) => this.server.close(resolve));
   }
 
   async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const { url = '/', method = 'GET', headers } = request;
+    const { url = '/', method = 'GET', headers, socket } = request;
     if (url === '/-/kv-list') {
       this.listCalls += 1;
       const held = this.kept.map(([id, tokens]) => ['', id, tokens, 'm']);
       response.end(JSON.stringify({ epoch: 1, next: 1, held }));
       return;
     }
+    this.#sendPending(socket);
     const chunks: Buffer[] = [];
     for await (const chunk of request as AsyncIterable<Buffer>) chunks.push(chunk);
+    const id = String(headers['request-id']);
     if (headers['expect-instance'] !== this.id) {
-      response.writeHead(421, { 'instance-id': this.id }).end();
+      response.writeHead(421, { 'instance-id': this.id, 'request-id': id }).end();
       return;
     }
-    const id = String(headers['request-id']);
     const body = Buffer.concat(chunks).toString('utf8');
     this.seen.push({ id, method, path: url, headers, body, at: performance.now() });
     response.on('close', () => {
@@ -179,22 +139,81 @@
     });
     const behaviour = this.behaviours.shift() ?? 'answers';
     if (behaviour !== 'refuses') this.ran.push(id);
-    await this.#answer(behaviour, id, request, response);
+    const exchange = { content: this.#contentOf(id, request), request, response };
+    await this.#answer(behaviour, exchange);
   }
 
-  async #answer(
-    behaviour: Behaviour,
-    id: string,
-    request: IncomingMessage,
-    response: ServerResponse,
-  ): Promise<void> {
-    const signed = { 'request-id': id, 'response-seal': `seal-${this.id}` };
+  #contentOf(id: string, { headers }: IncomingMessage): Content {
+    const server = this.id;
+    if (headers['token-usage'] === undefined)
+      return { id, server, type: 'text/plain', body: `${server} ran ${id}` };
+    const first = Number(headers['last-event-id'] ?? 0) + 1;
+    const count = Math.max(0, streamLength - first + 1);
+    const events = Array.from({ length: count }, (_, index) => eventOf(first + index));
+    return { id, server, type: 'text/event-stream', body: events.join('') };
+  }
+
+  async #answer(behaviour: Behaviour, exchange: Exchange): Promise<void> {
+    if (typeof behaviour === 'object') {
+      await this.#answerWhole(exchange, behaviour);
+      return;
+    }
+    const { content, request, response } = exchange;
+    const { id, body, type } = content;
+    const seal = { 'response-seal': `seal-${this.id}` };
+    const signed = { 'request-id': id, ...seal };
+    const failure = `${this.id} failed ${id}`;
     switch (behaviour) {
+      case 'resetsUnframed':
+      case 'closesUnframed':
+      case 'resetsChunked':
+      case 'endsInLength':
+      case 'endsInChunk':
+      case 'endsInChunkClosing':
+      case 'endsBetweenChunks':
+      case 'endsBetweenChunksClosing':
+        await this.#breakOff(behaviour, exchange);
+        return;
+      case 'endlessNoise':
+      case 'endlessHead':
+      case 'endlessInterim':
+      case 'endlessRefusal':
+      case 'endlessFailure':
+      case 'endlessExtension':
+      case 'endlessEvent':
+      case 'endlessTrailer':
+        await this.#pour(behaviour, exchange);
+        return;
+      case 'answers':
+        await this.#answerWhole(exchange);
+        return;
+      case 'cuts':
+        await this.#cut(exchange);
+        return;
       case 'refuses':
         response.writeHead(503, { 'not-executed': '1', 'request-id': id }).end();
         return;
       case 'errors':
-        response.writeHead(500, signed).end('failed');
+        this.#give(exchange, 500, signed, failure);
+        return;
+      case 'errorsUnsigned':
+        this.#give(exchange, 500, { 'request-id': id }, failure);
+        return;
+      case 'errorsWithoutId':
+        this.#give(exchange, 500, seal, failure);
+        return;
+      case 'errorsAsFull':
+        this.#give(exchange, 503, signed, failure);
+        return;
+      case 'noContent':
+        this.#give(exchange, 204, signed, '');
+        return;
+      case 'notModified':
+        this.#give(exchange, 304, signed, '');
+        return;
+      case 'encodes':
+        response.writeHead(200, { ...signed, 'content-type': type, 'content-encoding': 'gzip' });
+        response.end(gzipSync(body));
         return;
       case 'resets':
         request.socket.resetAndDestroy();
@@ -204,82 +223,134 @@
       case 'confuses':
         response.writeHead(200, { ...signed, 'request-id': 'other' }).end('answer of another');
         return;
-      case 'resetsChunked':
-        response.writeHead(200, { ...signed, connection: 'close' });
-        response.write('half');
-        await pause(20);
-        request.socket.resetAndDestroy();
+    }
+  }
+
+  /** Sends a framed answer in one piece. */
+  #give(
+    { content, request, response }: Exchange,
+    status: number,
+    headers: Readonly<Record<string, string>>,
+    body: string,
+  ): void {
+    const hasBody = request.method !== 'HEAD';
+    this.given.push({ id: content.id, status, body: hasBody ? body : '' });
+    const hasLength = status !== 204 && status !== 304;
+    const framing = hasLength ? { 'content-length': `${body.length}` } : {};
+    response.writeHead(status, { ...headers, ...framing }).end(body);
+  }
+
+  async #answerWhole(exchange: Exchange, extra?: ExtraBytes): Promise<void> {
+    const { content, request, response } = exchange;
+    const { id, type, body } = content;
+    const { socket } = request;
+    const signed = { 'request-id': id, 'response-seal': `seal-${this.id}` };
+    if (type === 'text/plain') {
+      // In one segment with what comes behind it.
+      socket.cork();
+      this.#give(exchange, 200, signed, body);
+    } else {
+      response.writeHead(200, { ...signed, 'content-type': type });
+      for (const event of eventsOf(body)) {
+        if (response.destroyed) return;
+        response.write(event);
+        await pause(this.eventPause);
+      }
+      this.given.push({ id, status: 200, body });
+      socket.cork();
+      response.end();
+    }
+    if (extra !== undefined) this.#sendExtra(extra, content, socket);
+    process.nextTick(() => {
+      socket.uncork();
+    });
+  }
+
+  #sendExtra(extra: ExtraBytes, content: Content, socket: Socket): void {
+    const bytes = extraBytes(extra, content);
+    switch (extra.when) {
+      case 'behind':
+        socket.write(bytes);
         return;
-      case 'resetsUnframed':
-      case 'closesUnframed': {
-        const { socket } = request;
-        socket.write(
-          `HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\nResponse-Seal: seal-${this.id}\r\n\r\nhalf`,
-        );
-        await pause(20);
-        if (behaviour === 'resetsUnframed') socket.resetAndDestroy();
-        else socket.end(' and half');
+      case 'withNext':
+        this.#keepPending(socket, bytes);
         return;
+      case 'late': {
+        this.#keepPending(socket, bytes);
+        const spread = (this.#lateAnswers * late.step) % (late.most - late.least);
+        this.#lateAnswers += 1;
+        setTimeout(() => {
+          this.#sendPending(socket);
+        }, late.least + spread);
       }
-      case 'answers':
-      case 'cuts':
-        break;
-      case 'endlessNoise':
-      case 'endlessHead':
-      case 'endlessInterim':
-      case 'endlessRefusal':
-      case 'endlessFailure':
-      case 'endlessExtension':
-      case 'endlessEvent':
-      case 'endlessTrailer':
-        await this.#pour(behaviour, id, request.socket);
-        return;
     }
-    const isCut = behaviour === 'cuts';
-    if (request.headers['token-usage'] !== undefined) {
-      await this.#stream(isCut, signed, request, response);
-      return;
-    }
-    const text = `${this.id} ran ${id}`;
-    response.writeHead(200, { ...signed, 'content-length': text.length });
-    if (!isCut) {
-      response.end(text);
-      return;
+  }
+
+  #keepPending(socket: Socket, bytes: string): void {
+    this.#pending.set(socket, bytes);
+    socket.once('close', () => this.#pending.delete(socket));
+  }
+
+  #sendPending(socket: Socket): void {
+    const bytes = this.#pending.get(socket);
+    this.#pending.delete(socket);
+    if (bytes !== undefined && socket.writable) socket.write(bytes);
+  }
+
+  async #cut({ content, request, response }: Exchange): Promise<void> {
+    const { id, type, body } = content;
+    const signed = { 'request-id': id, 'response-seal': `seal-${this.id}` };
+    if (type === 'text/plain') {
+      response.writeHead(200, { ...signed, 'content-length': body.length });
+      response.write(body.slice(0, 3));
+    } else {
+      response.writeHead(200, { ...signed, 'content-type': type });
+      const [first = '', second = '', third = ''] = eventsOf(body);
+      for (const event of [first, second]) {
+        response.write(event);
+        await pause(this.eventPause);
+      }
+      response.write(third.slice(0, -7));
     }
-    response.write(text.slice(0, 3));
-    await pause(20);
+    await pause(partPause);
     request.socket.destroy();
   }
 
+  async #breakOff(behaviour: BrokenBehaviour, { content, request }: Exchange): Promise<void> {
+    const { socket } = request;
+    const { first, rest, ending, isWhole } = brokenAnswer(behaviour, content);
+    const { id, body } = content;
+    // The head is all of an answer to HEAD; what comes behind it belongs to no answer.
+    if (request.method === 'HEAD') this.given.push({ id, status: 200, body: '' });
+    else if (isWhole) this.given.push({ id, status: 200, body });
+    socket.write(first);
+    await pause(partPause);
+    switch (ending) {
+      case 'closed':
+        socket.end(rest);
+        return;
+      case 'reset':
+        socket.resetAndDestroy();
+    }
+  }
+
   /** Sends without end, as fast as the caller reads. */
-  async #pour(behaviour: EndlessBehaviour, id: string, socket: Socket): Promise<void> {
-    const { first, again } = endless(behaviour, id, this.id);
+  async #pour(behaviour: EndlessBehaviour, { content, request }: Exchange): Promise<void> {
+    const { id } = content;
+    const { socket } = request;
+    const { first, again } = endlessBytes(behaviour, id, this.id);
     const bytes = again.repeat(Math.ceil(16_384 / again.length));
     socket.on('close', () => this.closed.set(id, performance.now()));
     socket.on('error', () => undefined);
     socket.write(first);
     while (!socket.destroyed) if (!socket.write(bytes)) await pause(1);
   }
+}
 
-  async #stream(
-    isCut: boolean,
-    signed: Readonly<Record<string, string>>,
-    request: IncomingMessage,
-    response: ServerResponse,
-  ): Promise<void> {
-    response.writeHead(200, { ...signed, 'content-type': 'text/event-stream' });
-    const first = Number(request.headers['last-event-id'] ?? 0) + 1;
-    for (let event = first; event <= streamLength; event += 1) {
-      if (response.destroyed) return;
-      if (isCut && event === first + 2) {
-        response.write(`id: ${event}\nda`);
-        await pause(20);
-        request.socket.destroy();
-        return;
-      }
-      response.write(`id: ${event}\ndata: ${event}\n\n`);
-      await pause(this.eventPause);
-    }
-    response.end();
-  }
+function eventOf(event: number): string {
+  return `id: ${event}\ndata: ${event}\n\n`;
+}
+
+function eventsOf(body: string): readonly string[] {
+  return body.split(/(?<=\n\n)/);
 }
--- a/packages/standins/src/stack/soak.ts
+++ b/packages/standins/src/stack/soak.ts
@@ -9,7 +9,8 @@
 import { call, type CallResult } from './caller.js';
 import { desiredStateOf, freePorts, modelFields, names } from './fleet.js';
 import { RouterProcess } from './routerProcess.js';
-import { StackServer, streamLength, type Behaviour } from './server.js';
+import { textOf, type Behaviour } from './behaviour.js';
+import { StackServer, streamLength } from './server.js';
 import { StackStore } from './store.js';
 
 /** Time limit of the deployment's routes. */
@@ -379,7 +380,7 @@
   }
 
   #spoil({ server }: Backend, behaviour: Behaviour, count: number): Promise<void> {
-    this.#tell(`${server.id}: ${behaviour}, ${count} times`);
+    this.#tell(`${server.id}: ${textOf(behaviour)}, ${count} times`);
     server.behaviours.push(...Array.from({ length: count }, () => behaviour));
     return Promise.resolve();
   }
--- a/packages/standins/src/stack/stack.test.ts
+++ b/packages/standins/src/stack/stack.test.ts
@@ -6,7 +6,8 @@
 import { call, type CallResult } from './caller.js';
 import { StackFleet, desiredStateOf, modelFields, names, until } from './fleet.js';
 import { setTimeout as pause } from 'node:timers/promises';
-import { streamLength, type Behaviour, type StackServer } from './server.js';
+import type { Behaviour } from './behaviour.js';
+import { streamLength, type StackServer } from './server.js';
 
 let fleet: StackFleet;
 let sent = 0;
