--- a/packages/standins/src/stack/behaviour.ts
+++ b/packages/standins/src/stack/behaviour.ts
@@ -7,6 +7,8 @@
 /** Framed answers, and requests that get none. */
 export type HeadBehaviour =
   | 'answers'
+  /** The same in two parts. */
+  | 'answersInParts'
   /** 503 with the promise that it has not run. */
   | 'refuses'
   /** 500 after it ran. */
--- a/packages/standins/src/stack/callerConnection.ts
+++ b/packages/standins/src/stack/callerConnection.ts
@@ -15,7 +15,7 @@
       readonly body: string;
     }
   /** The connection ended before the answer was whole. */
-  | { readonly kind: 'broken'; readonly status: number | undefined }
+  | { readonly kind: 'broken'; readonly status: number | undefined; readonly bytes: string }
   /** Bytes that are no answer in the protocol. */
   | { readonly kind: 'unreadable'; readonly bytes: string }
   /** Nothing more came in time. */
@@ -43,19 +43,24 @@
 type Parsed = Answer | 'incomplete';
 
 const headEnd = '\r\n\r\n';
+/** Bytes received last that are kept for reports. */
+const keptBytes = 256;
 
 /** One connection, used for one request after the other. */
 export class CallerConnection {
   #received = Buffer.alloc(0);
-  #hasEnded = false;
+  #last = Buffer.alloc(0);
+  /** How the connection ended; a reset cannot complete an answer without length. */
+  #ending: 'none' | 'closed' | 'reset' = 'none';
 
   private constructor(private readonly socket: Socket) {
     socket.on('data', (bytes) => {
       this.#received = Buffer.concat([this.#received, bytes]);
+      this.#last = Buffer.concat([this.#last, bytes]).subarray(-keptBytes);
     });
     for (const event of ['end', 'close', 'error'] as const)
       socket.on(event, () => {
-        this.#hasEnded = true;
+        if (this.#ending === 'none') this.#ending = event === 'error' ? 'reset' : 'closed';
         // Wakes the reader of the answer, as data does.
         socket.emit('more');
       });
@@ -72,7 +77,7 @@
 
   /** Whether the router has closed the connection. */
   get isClosed(): boolean {
-    return this.#hasEnded;
+    return this.#ending !== 'none';
   }
 
   /** Bytes that belong to no answer that was asked for. */
@@ -80,6 +85,11 @@
     return this.#received.toString('latin1');
   }
 
+  /** The bytes received last, whether or not they belong to an answer. */
+  get last(): string {
+    return this.#last.toString('latin1');
+  }
+
   /** Sends a request and reads its answer, which begins with the first byte that was not read before. */
   async ask(request: PlainRequest, within: Milliseconds = 5_000): Promise<Answer> {
     const { method, path, headers, body = '' } = request;
@@ -110,13 +120,15 @@
     const statusLine = text.split('\r\n', 1)[0] ?? '';
     const isStatus = /^HTTP\/1\.1 \d{3} /.test(statusLine);
     if (text.includes('\r\n') && !isStatus) return { kind: 'unreadable', bytes: statusLine };
-    if (end < 0) return this.#hasEnded ? { kind: 'broken', status: undefined } : 'incomplete';
+    const broken = (status?: number): Parsed =>
+      this.isClosed ? { kind: 'broken', status, bytes: text } : 'incomplete';
+    if (end < 0) return broken();
     const head = headOf(text.slice(0, end), method);
     const { status, headers, framing } = head;
     const start = end + headEnd.length;
-    const found = bodyOf(text, start, framing, this.#hasEnded);
+    const found = bodyOf(text, start, framing, this.#ending === 'closed');
     if (found === 'unreadable') return { kind: 'unreadable', bytes: text.slice(start) };
-    if (found === 'incomplete') return this.#hasEnded ? { kind: 'broken', status } : 'incomplete';
+    if (found === 'incomplete') return broken(status);
     this.#received = this.#received.subarray(found.next);
     return { kind: 'whole', status, headers, body: found.body };
   }
--- a/packages/standins/src/stack/server.ts
+++ b/packages/standins/src/stack/server.ts
@@ -31,8 +31,8 @@
 /** Events of a stream of the stand-in. */
 export const streamLength = 6;
 
-/** Time between the parts of an answer that breaks off, so that the router hands the first one on. */
-const partPause: Milliseconds = 20;
+/** Characters of the last part of an answer that comes in parts. */
+const lastPart = 4;
 /** Shortest time after which an answer comes twice, the step to the next time, and the longest. */
 const late = { least: 30, step: 37, most: 200 } as const;
 
@@ -59,6 +59,10 @@
   /** Calls for the list of kept parts. */
   listCalls = 0;
   eventPause = 5;
+  /** Time between the parts of an answer that breaks off, so that the router gets the first one by itself. */
+  partPause: Milliseconds = 20;
+  /** Characters before the text of a plain answer, for answers that a router does not hold until they are whole. */
+  padding = 0;
   /** When the connection of an answer without end was closed by its caller, by request id. */
   readonly closed = new Map<string, number>();
   /** Bytes that come with the next request on their connection at the latest. */
@@ -146,7 +150,12 @@
   #contentOf(id: string, { headers }: IncomingMessage): Content {
     const server = this.id;
     if (headers['token-usage'] === undefined)
-      return { id, server, type: 'text/plain', body: `${server} ran ${id}` };
+      return {
+        id,
+        server,
+        type: 'text/plain',
+        body: `${'-'.repeat(this.padding)}${server} ran ${id}`,
+      };
     const first = Number(headers['last-event-id'] ?? 0) + 1;
     const count = Math.max(0, streamLength - first + 1);
     const events = Array.from({ length: count }, (_, index) => eventOf(first + index));
@@ -187,6 +196,14 @@
       case 'answers':
         await this.#answerWhole(exchange);
         return;
+      case 'answersInParts': {
+        const length = body.length;
+        this.given.push({ id, status: 200, body });
+        response.writeHead(200, { ...signed, 'content-type': type, 'content-length': length });
+        await this.#writeParts(body, (part) => response.write(part));
+        response.end();
+        return;
+      }
       case 'cuts':
         await this.#cut(exchange);
         return;
@@ -302,7 +319,7 @@
     const signed = { 'request-id': id, 'response-seal': `seal-${this.id}` };
     if (type === 'text/plain') {
       response.writeHead(200, { ...signed, 'content-length': body.length });
-      response.write(body.slice(0, 3));
+      await this.#writeParts(body.slice(0, body.length / 2), (part) => response.write(part));
     } else {
       response.writeHead(200, { ...signed, 'content-type': type });
       const [first = '', second = '', third = ''] = eventsOf(body);
@@ -311,11 +328,20 @@
         await pause(this.eventPause);
       }
       response.write(third.slice(0, -7));
+      await pause(this.partPause);
     }
-    await pause(partPause);
     request.socket.destroy();
   }
 
+  /** In two parts: a router that holds an answer for some time looks at that time when the second one comes. */
+  async #writeParts(text: string, write: (part: string) => unknown): Promise<void> {
+    const last = Math.min(lastPart, text.length);
+    for (const part of [text.slice(0, -last), text.slice(-last)]) {
+      if (part !== '') write(part);
+      await pause(this.partPause);
+    }
+  }
+
   async #breakOff(behaviour: BrokenBehaviour, { content, request }: Exchange): Promise<void> {
     const { socket } = request;
     const { first, rest, ending, isWhole } = brokenAnswer(behaviour, content);
@@ -323,8 +349,7 @@
     // The head is all of an answer to HEAD; what comes behind it belongs to no answer.
     if (request.method === 'HEAD') this.given.push({ id, status: 200, body: '' });
     else if (isWhole) this.given.push({ id, status: 200, body });
-    socket.write(first);
-    await pause(partPause);
+    await this.#writeParts(first, (part) => socket.write(part));
     switch (ending) {
       case 'closed':
         socket.end(rest);
