--- a/packages/coordination/src/routing/answers.test.ts
+++ b/packages/coordination/src/routing/answers.test.ts
@@ -48,6 +48,12 @@
     assert.equal(kindOf({ status, isPromise: true }, last), 'unusable');
 });
 
+// Guards against callers that repeat a request which servers call bad, because they are told that none had room.
+test('a request that servers call bad is tried once more, and then its caller gets their answer', () => {
+  assert.equal(kindOf({ status: 400, isNotRun: true }, first), 'notRun');
+  assert.equal(kindOf({ status: 400, isNotRun: true }, last), 'accepted');
+});
+
 // Guards against a failure in the middle of a stream, and against failures that another server could spare the caller.
 test('a failure is handed on if nothing was before it and no other server is tried', () => {
   assert.equal(kindOf({ status: 500 }, last), 'accepted');
--- a/packages/coordination/src/routing/answers.ts
+++ b/packages/coordination/src/routing/answers.ts
@@ -41,7 +41,8 @@
   const { status, names, isSigned, isNotRun, isPromise, isEncoded } = facts;
   if (names !== 'thisRequest')
     return { kind: 'foreign', detail: `answer belongs to ${belongings[names]}` };
-  if (isNotRun) return { kind: 'notRun' };
+  // A refusal that is no promise to callers is the last server's own answer if no other server is tried.
+  if (isNotRun && (isPromise || mayRepeat)) return { kind: 'notRun' };
   const isSuccess = status >= 200 && status < 300;
   if (isSuccess && !isSigned) return { kind: 'foreign', detail: 'answer without a signature' };
   if (isEncoded) return { kind: 'unusable', detail: 'an encoded body' };
--- a/packages/coordination/src/routing/handedOn.test.ts
+++ b/packages/coordination/src/routing/handedOn.test.ts
@@ -4,7 +4,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { Clock, type Milliseconds } from '@catkinwheel/state';
-import { Hold, isContinuable, type HandedOn } from './handedOn.js';
+import { Hold, isContinuable, isNextEvent, type HandedOn } from './handedOn.js';
 
 interface Piece {
   readonly after: Milliseconds;
@@ -64,3 +64,14 @@
   for (const [handedOn, expected] of cases)
     assert.equal(isContinuable(handedOn), expected, JSON.stringify(handedOn));
 });
+
+// Guards against a second run that begins with an event which the caller has, or whose place is not known.
+test('a continuation begins behind the last event', () => {
+  assert.ok(isNextEvent('3', '4'));
+  assert.ok(isNextEvent('9', '10'));
+  assert.ok(!isNextEvent('3', '3'));
+  assert.ok(!isNextEvent('3', '2'));
+  assert.ok(!isNextEvent('3', undefined));
+  assert.ok(!isNextEvent('3', 'x'));
+  assert.ok(!isNextEvent(undefined, '4'));
+});
--- a/packages/coordination/src/routing/handedOn.ts
+++ b/packages/coordination/src/routing/handedOn.ts
@@ -10,7 +10,7 @@
 /** Time for which a plain answer is held after its head; half of the time after which callers give up a silent router. */
 const heldTime: Milliseconds = 500;
 
-/** What a caller has of the answer to its request. */
+/** What a caller has of the answer to its request; an answer that has ended is `plain`. */
 export type HandedOn =
   | { readonly kind: 'nothing' }
   /** A head and a part of the body, or all of it, of one run. */
@@ -30,6 +30,14 @@
   }
 }
 
+/**
+ * Whether a continuation may begin with the event `next` behind the event `last`. Ids of events increase, so that a
+ * run which begins elsewhere shows; one without an id cannot be told from a repeated one.
+ */
+export function isNextEvent(last: string | undefined, next: string | undefined): boolean {
+  return last !== undefined && next !== undefined && Number(next) > Number(last);
+}
+
 /** Decides how long the beginning of one run's plain answer is held. */
 export class Hold {
   #size = 0;
--- a/packages/gateway/src/answer.ts
+++ b/packages/gateway/src/answer.ts
@@ -1,44 +1,44 @@
 // The answer to one request, made of the runs of it at servers. Whatever is handed on belongs to one run from its head to
 // its end; a further run gets a place in the answer only if nothing was handed on, or if it continues a stream of events.
 
-import { Hold, isContinuable, type HandedOn, type Route } from '@catkinwheel/coordination/routing';
+import {
+  Hold,
+  isContinuable,
+  isNextEvent,
+  type HandedOn,
+  type Route,
+} from '@catkinwheel/coordination/routing';
 import type { Head } from '@catkinwheel/protocol';
 import type { Clock } from '@catkinwheel/state';
 import type { CallerResponse } from './callerResponse.js';
-import { EventStream } from './eventStream.js';
+import { EventStream, type Events } from './eventStream.js';
 
-/** How answers of a route are handed on. */
-type Shape =
-  /** Held until they are whole, within bounds. */
-  | 'plain'
-  /** As they come, by one run only. */
-  | 'stream'
-  /** By whole events, which another run may continue. */
-  | 'events';
+/** Pieces of a held answer that are joined into one, so that a piece of a few bytes does not take its own memory. */
+const joinedPieces = 64;
 
 /** What becomes of bytes that were taken. */
-export type Taken = 'handedOn' | 'held' | 'tooLong';
+export type Taken =
+  | { readonly kind: 'handedOn' | 'held' }
+  /** They are not the rest of the answer; nothing of them was handed on. */
+  | { readonly kind: 'unusable'; readonly detail: string };
 
 /** The part of one run in an answer. */
 export interface RunAnswer {
   /** Takes bytes of the body; resolves when the caller has room for more, or has left. */
-  take(head: Head, bytes: Uint8Array): Promise<Taken>;
-  /** The run's answer is whole; so is the caller's then. */
-  end(head: Head): void;
+  take(bytes: Uint8Array): Promise<Taken>;
+  /** The run's answer has ended; so does the caller's, unless the run stopped in the middle of an event. */
+  end(): Taken;
 }
 
 /** The answer to one request. */
 export class Answer {
-  readonly #shape: Shape;
   #handedOn: HandedOn = { kind: 'nothing' };
 
   private constructor(
     private readonly clock: Clock,
     private readonly response: CallerResponse,
-    route: Route,
-  ) {
-    this.#shape = shapeOf(route);
-  }
+    private readonly route: Route,
+  ) {}
 
   static create(clock: Clock, response: CallerResponse, route: Route): Answer {
     return new Answer(clock, response, route);
@@ -54,75 +54,105 @@
     return isContinuable(this.#handedOn);
   }
 
-  /** A place for the answer of a further run; undefined if what was handed on belongs to another one. */
-  nextRun(): RunAnswer | undefined {
+  /** A place for the answer of a run with this head; undefined if it cannot continue what was handed on. */
+  nextRun(head: Head): RunAnswer | undefined {
     if (!this.isContinuable) return undefined;
-    switch (this.#shape) {
-      case 'plain':
-        return this.#plainRun(true);
-      case 'stream':
-        return this.#plainRun(false);
-      case 'events':
-        return this.#eventRun();
+    const isFirst = this.#handedOn.kind === 'nothing';
+    if (!isFirst && (head.status !== 200 || !isEventStream(head))) return undefined;
+    const { route } = this;
+    switch (route.kind) {
+      case 'idempotent':
+      case 'nonIdempotent':
+        return this.#heldRun(head);
+      case 'streaming':
+        if (!isEventStream(head)) return this.#heldRun(head);
+        return route.canResume ? this.#eventRun(head) : this.#directRun(head);
     }
   }
 
-  #plainRun(isHeld: boolean): RunAnswer {
-    const { clock, response } = this;
-    let hold: Hold | undefined;
-    const held: Uint8Array[] = [];
+  /** An answer that is held until it is whole, within bounds. */
+  #heldRun(head: Head): RunAnswer {
+    const direct = this.#directRun(head);
+    const hold = Hold.create(this.clock);
+    let held: readonly Uint8Array[] = [];
     return {
-      take: async (head, bytes) => {
-        held.push(bytes);
-        hold ??= Hold.create(clock);
-        if (isHeld && hold.keeps(bytes.byteLength)) return 'held';
+      take: async (bytes) => {
+        held = held.length < joinedPieces ? [...held, bytes] : [Buffer.concat([...held, bytes])];
+        if (hold.keeps(bytes.byteLength)) return { kind: 'held' };
+        const all = Buffer.concat(held);
+        held = [];
+        return direct.take(all);
+      },
+      end: () => {
+        this.#handedOn = { kind: 'plain' };
+        this.response.open(head);
+        this.response.end(Buffer.concat(held));
+        return { kind: 'handedOn' };
+      },
+    };
+  }
+
+  /** An answer that is handed on as it comes. */
+  #directRun(head: Head): RunAnswer {
+    const { response } = this;
+    return {
+      take: async (bytes) => {
         this.#handedOn = { kind: 'plain' };
         response.open(head);
-        await response.write(Buffer.concat(held.splice(0)));
-        return 'handedOn';
+        await response.write(bytes);
+        return { kind: 'handedOn' };
       },
-      end: (head) => {
-        const isWhole = this.#handedOn.kind === 'nothing';
+      end: () => {
         this.#handedOn = { kind: 'plain' };
-        if (isWhole) response.whole(head, Buffer.concat(held));
-        else response.end(Buffer.concat(held));
+        response.open(head);
+        response.end();
+        return { kind: 'handedOn' };
       },
     };
   }
 
-  #eventRun(): RunAnswer {
+  /** A stream that is handed on by whole events. */
+  #eventRun(runHead: Head): RunAnswer {
     const { response } = this;
-    const events = EventStream.create();
+    // The length that a run declares is not that of an answer that another run may continue.
+    const head = withoutLength(runHead);
+    const stream = EventStream.create();
+    let isContinuation = this.#handedOn.kind === 'events';
     return {
-      take: async (head, bytes) => {
-        const whole = events.push(bytes);
-        if (whole === 'tooLong') return 'tooLong';
-        if (whole === undefined) return 'held';
-        this.#handedOn = { kind: 'events', lastEvent: whole.lastId ?? this.lastEvent };
-        // The length that a run declares is not that of an answer that another run may continue.
-        response.open(withoutLength(head));
-        await response.write(whole.bytes);
-        return 'handedOn';
+      take: async (bytes) => {
+        const events = stream.push(bytes);
+        if (events === 'tooLong') return { kind: 'unusable', detail: 'an event without end' };
+        if (events === undefined) return { kind: 'held' };
+        if (isContinuation && events.ids.length > 0) {
+          if (!isNextEvent(this.lastEvent, events.ids[0]))
+            return { kind: 'unusable', detail: 'a stream that goes on at another event' };
+          isContinuation = false;
+        }
+        this.#noteEvents(events);
+        response.open(head);
+        await response.write(events.bytes);
+        return { kind: 'handedOn' };
       },
-      end: (head) => {
-        response.open(withoutLength(head));
-        response.end(events.rest());
+      end: () => {
+        if (stream.isWithinEvent) return { kind: 'unusable', detail: 'the end within an event' };
         this.#handedOn = { kind: 'plain' };
+        response.open(head);
+        response.end();
+        return { kind: 'handedOn' };
       },
     };
   }
-}
 
-function shapeOf(route: Route): Shape {
-  switch (route.kind) {
-    case 'idempotent':
-    case 'nonIdempotent':
-      return 'plain';
-    case 'streaming':
-      return route.canResume ? 'events' : 'stream';
+  #noteEvents({ ids }: Events): void {
+    const lastEvent = ids.length > 0 ? ids.at(-1) : this.lastEvent;
+    this.#handedOn = { kind: 'events', lastEvent };
   }
 }
 
+function isEventStream({ headers }: Head): boolean {
+  return String(headers['content-type'] ?? '').startsWith('text/event-stream');
+}
+
 function withoutLength(head: Head): Head {
   const fields = Object.entries(head.headers).filter(([name]) => name !== 'content-length');
   return { ...head, headers: Object.fromEntries(fields) };
--- a/packages/gateway/src/callerResponse.ts
+++ b/packages/gateway/src/callerResponse.ts
@@ -12,11 +12,12 @@
   private constructor(
     private readonly response: ServerResponse,
     private readonly id: string,
+    private readonly ending: AbortSignal,
   ) {}
 
-  /** `id` is that of the request, empty if it has none. */
-  static create(response: ServerResponse, id: string): CallerResponse {
-    return new CallerResponse(response, id);
+  /** `id` is that of the request, empty if it has none; `ending` aborts when no more is to be handed on. */
+  static create(response: ServerResponse, id: string, ending: AbortSignal): CallerResponse {
+    return new CallerResponse(response, id, ending);
   }
 
   /** Whether the head is sent; the answer can only be completed or broken off then. */
@@ -39,12 +40,6 @@
     return this.#handedOn;
   }
 
-  /** Sends an answer that is whole. */
-  whole(head: Head, body: Uint8Array): void {
-    this.open(head);
-    this.end(body);
-  }
-
   /** Sends the head of a server's answer; a stream that is continued keeps that of its first server. */
   open(head: Head): void {
     if (this.isOpen) return;
@@ -53,19 +48,20 @@
     this.response.writeHead(head.status, head.headers as Record<string, string | string[]>);
   }
 
-  /** Hands bytes on; resolves when the caller has room for more, or has left. */
+  /** Hands bytes on; resolves when the caller has room for more, has left, or gets no more. */
   async write(bytes: Uint8Array): Promise<void> {
+    const { response, ending } = this;
     this.#handedOn += bytes.byteLength;
     // A response that is closed never drains, and does not close again.
-    if (this.response.destroyed || this.response.write(bytes)) return;
+    if (response.destroyed || response.write(bytes) || ending.aborted) return;
     await new Promise<void>((resolve) => {
       const done = (): void => {
-        this.response.off('drain', done);
-        this.response.off('close', done);
+        response.off('drain', done).off('close', done);
+        ending.removeEventListener('abort', done);
         resolve();
       };
-      this.response.once('drain', done);
-      this.response.once('close', done);
+      response.once('drain', done).once('close', done);
+      ending.addEventListener('abort', done);
     });
   }
 
@@ -77,7 +73,10 @@
 
   /** Breaks the answer off, so that it does not look whole. */
   breakOff(): void {
-    this.response.destroy();
+    const { req, socket } = this.response;
+    // Answers to HTTP/1.0 have no chunks: one without a length ends with its connection.
+    if (req.httpVersion === '1.0') socket?.resetAndDestroy();
+    else this.response.destroy();
   }
 
   /** Sends an answer of this router's own; `closes` ends the connection after it. */
--- a/packages/gateway/src/eventStream.ts
+++ b/packages/gateway/src/eventStream.ts
@@ -2,16 +2,18 @@
 // reaches the caller has to end with a whole one, so that the stream can go on elsewhere.
 
 /** An event ends with an empty line. */
-const eventEnd = Buffer.from('\n\n');
+const eventEnds = [Buffer.from('\n\n'), Buffer.from('\r\n\r\n')];
+const lineEnd = /\r?\n/;
+const betweenEvents = /(?:\r?\n){2}/;
 
 /** Longest event in bytes; those of the published deployments have some hundred. */
 const eventLimit = 64 * 1024;
 
-/** Whole events and the id of the last one. */
+/** Whole events. */
 export interface Events {
   readonly bytes: Buffer;
-  /** Undefined if none of the events has an id. */
-  readonly lastId: string | undefined;
+  /** Ids of the events that have data, in their order; undefined for one without an id. */
+  readonly ids: readonly (string | undefined)[];
 }
 
 /** Holds back the part of a stream after its last whole event. */
@@ -32,27 +34,39 @@
    */
   push(bytes: Uint8Array): Events | 'tooLong' | undefined {
     const all = this.#rest.length === 0 ? Buffer.from(bytes) : Buffer.concat([this.#rest, bytes]);
-    const end = all.lastIndexOf(eventEnd);
-    if (end < 0) {
+    const end = Math.max(...eventEnds.map((mark) => endOfLast(all, mark)));
+    if (end === 0) {
       if (all.length > eventLimit) return 'tooLong';
       this.#rest = all;
       return undefined;
     }
-    const whole = all.subarray(0, end + eventEnd.length);
-    this.#rest = all.subarray(whole.length);
-    return { bytes: whole, lastId: lastIdOf(whole) };
+    const whole = all.subarray(0, end);
+    this.#rest = all.subarray(end);
+    return { bytes: whole, ids: idsOf(whole) };
   }
 
-  /** Bytes after the last whole event. */
-  rest(): Buffer {
-    return this.#rest;
+  /** Whether the stream has stopped in the middle of an event. */
+  get isWithinEvent(): boolean {
+    return this.#rest.length > 0;
   }
 }
 
-function lastIdOf(events: Buffer): string | undefined {
-  const text = events.toString('latin1');
-  const start = Math.max(text.lastIndexOf('\nid:'), text.startsWith('id:') ? -1 : -2);
-  if (start < -1) return undefined;
-  const end = text.indexOf('\n', start + 1);
-  return text.slice(start + '\nid:'.length, end).trim();
+/** Where the last `mark` ends; 0 if there is none. */
+function endOfLast(bytes: Buffer, mark: Buffer): number {
+  const start = bytes.lastIndexOf(mark);
+  return start < 0 ? 0 : start + mark.length;
+}
+
+function idsOf(events: Buffer): readonly (string | undefined)[] {
+  return events
+    .toString('latin1')
+    .split(betweenEvents)
+    .map((event) => event.split(lineEnd))
+    .filter((lines) => lines.some((line) => line.startsWith('data')))
+    .map((lines) =>
+      lines
+        .find((line) => line.startsWith('id:'))
+        ?.slice('id:'.length)
+        .trim(),
+    );
 }
--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/ingress.ts
@@ -45,6 +45,8 @@
     this.#queue = AcceptQueue.create(parts.clock, acceptBacklog(capacity));
     const probe = AcceptProbe.create(this.#server, this.#queue, parts.log);
     this.#server.on('connection', (socket) => {
+      // Each request under way listens for the close; a caller may send many at once.
+      socket.setMaxListeners(0);
       const { wait } = this.#queue;
       if (probe.take(socket) && isTooOld(wait)) this.#old.set(socket, wait);
     });
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -19,7 +19,6 @@
   isMisdirected,
   type RequestHead,
 } from '@catkinwheel/platform';
-import type { Head } from '@catkinwheel/protocol';
 import type { Clock, Milliseconds } from '@catkinwheel/state';
 import { describe, resultOf, type Attempt, type Cause, type Trace } from './attempt.js';
 import { Answer, type RunAnswer } from './answer.js';
@@ -90,14 +89,13 @@
   /** Whether the request may be sent to a further server. */
   readonly mayRepeat: boolean;
   readonly answer: Answer;
-  readonly run: RunAnswer;
 }
 
 /** A request that is being served. */
 export class Relay {
   readonly #arrived: Milliseconds;
   readonly #head: RequestHead;
-  readonly #response: CallerResponse;
+  readonly #caller: CallerResponse;
   readonly #ending = new AbortController();
   readonly #traces: Trace[] = [];
   #deadlineTimer: NodeJS.Timeout | undefined;
@@ -115,7 +113,7 @@
   ) {
     this.#arrived = parts.clock.now();
     this.#head = decodeHead(request.headers);
-    this.#response = CallerResponse.create(response, this.#head.id);
+    this.#caller = CallerResponse.create(response, this.#head.id, this.#ending.signal);
   }
 
   static create(
@@ -136,9 +134,13 @@
   /** Serves the request to its end. Never rejects. */
   async run(): Promise<void> {
     const { response, request } = this;
-    response.on('close', () => {
+    const { socket } = request;
+    const onClose = (): void => {
       if (!response.writableFinished) this.#ending.abort('callerGone');
-    });
+    };
+    response.on('close', onClose);
+    // A response that waits for an earlier one on its connection is not told of the connection's end.
+    socket.on('close', onClose);
     try {
       await this.#serve();
     } catch (error) {
@@ -149,6 +151,7 @@
       });
       this.#fail('internal', 'mayHaveRun');
     } finally {
+      socket.off('close', onClose);
       clearTimeout(this.#deadlineTimer);
     }
   }
@@ -199,12 +202,10 @@
     const service = this.#chooseService(route);
     dispatcher.repeats.request(service);
     const avoid = new Set<string>();
-    const answer = Answer.create(clock, this.#response, route);
+    const answer = Answer.create(clock, this.#caller, route);
     let verdict: Verdict = 'notRun';
     let sends = 0;
     for (let tries = 0; tries < mostTries; tries += 1) {
-      const run = answer.nextRun();
-      if (run === undefined) break;
       const grant = await dispatcher.acquire(
         {
           route,
@@ -224,7 +225,7 @@
       }
       if (tries === 0) metrics.waiting.observe((clock.now() - this.#arrived) / 1_000);
       const mayRepeat = sends + 1 < route.maxAttempts && isRepeatable(route);
-      const sending = { route, grant, body, deadline, mayRepeat, answer, run };
+      const sending = { route, grant, body, deadline, mayRepeat, answer };
       const attempt = await this.#attempt(sending);
       avoid.add(grant.server.id);
       switch (attempt.kind) {
@@ -291,7 +292,7 @@
       }, within);
     };
     expectBytes(grant.predicted + firstSilence);
-    const handedOnBefore = this.#response.handedOn;
+    const handedOnBefore = this.#caller.handedOn;
     let first: Milliseconds | undefined;
     const onProgress = (): void => {
       if (first === undefined) {
@@ -299,7 +300,7 @@
         grant.started();
         metrics.predictionError.observe((first - grant.predicted) / 1_000);
       }
-      expectBytes(eventSilence);
+      clearTimeout(watch);
     };
     const onDiscard = (): void => {
       clearTimeout(watch);
@@ -307,7 +308,10 @@
         silence.abort('silence');
       }, discardTime);
     };
-    const on = { progress: onProgress, discard: onDiscard };
+    const onWait = (): void => {
+      expectBytes(eventSilence);
+    };
+    const on = { progress: onProgress, wait: onWait, discard: onDiscard };
     const attempt = await this.#relay(sending, outgoing, signal, on);
     clearTimeout(watch);
     const ended = attempt.kind === 'ended' && attempt.cause === 'silence';
@@ -320,7 +324,7 @@
       at: Math.round(sent - this.#arrived),
       first: rounded(first),
       took: Math.round(clock.now() - sent),
-      handedOn: this.#response.handedOn - handedOnBefore,
+      handedOn: this.#caller.handedOn - handedOnBefore,
       result: describe(attempt),
     });
     return attempt;
@@ -328,28 +332,39 @@
 
   /** Hands the answer of one server on. */
   async #relay(
-    { route, grant, mayRepeat, run }: Sending,
+    { route, grant, mayRepeat, answer }: Sending,
     outgoing: Outgoing,
     signal: AbortSignal,
-    on: { readonly progress: () => void; readonly discard: () => void },
+    on: {
+      /** Bytes have come, and the caller takes them now. */
+      readonly progress: () => void;
+      /** More bytes are awaited from the server. */
+      readonly wait: () => void;
+      /** The rest is read without handing it on. */
+      readonly discard: () => void;
+    },
   ): Promise<Attempt> {
     const { connections } = this.parts;
     const { id, address } = grant.server;
-    let head: Head | undefined;
+    let run: RunAnswer | undefined;
+    let status = 0;
     let discard: Attempt | undefined;
     let discarded = 0;
     for await (const piece of connections.send(id, address, outgoing, signal)) {
       switch (piece.kind) {
         case 'head': {
-          const { status } = piece;
+          ({ status } = piece);
           const facts = decodeAnswerHead(this.#head.id, status, piece.headers);
-          const judgement = judge(facts, { isOpen: this.#response.isOpen, mayRepeat });
+          const judgement = judge(facts, { isOpen: this.#caller.isOpen, mayRepeat });
           switch (judgement.kind) {
             case 'foreign':
               // The connection has answers in it that are not ours.
               return { kind: 'failed', detail: judgement.detail };
             case 'accepted':
+              run = answer.nextRun(piece);
+              if (run === undefined) return this.#broken('another kind of answer');
               if (route.kind !== 'streaming') on.progress();
+              on.wait();
               break;
             case 'notRun':
               discard = { kind: 'notRun', status };
@@ -360,7 +375,6 @@
               on.discard();
               break;
           }
-          head = piece;
           break;
         }
         case 'bytes': {
@@ -369,23 +383,22 @@
             if (discarded > discardLimit) return discard;
             break;
           }
-          if (head === undefined) break;
-          on.progress();
-          const taken = await run.take(head, piece.bytes);
-          // The caller may have read slowly, and no other run may continue now.
+          if (run === undefined) break;
           on.progress();
-          if (taken === 'tooLong') {
-            return this.#broken('an event without end');
-          }
-          if (taken === 'handedOn') this.#noteFirstByte();
+          const taken = await run.take(piece.bytes);
+          on.wait();
+          if (taken.kind === 'unusable') return this.#broken(taken.detail);
+          if (taken.kind === 'handedOn') this.#noteFirstByte();
           break;
         }
-        case 'end':
+        case 'end': {
           if (discard !== undefined) return discard;
-          if (head === undefined) return { kind: 'failed', detail: 'no answer' };
+          if (run === undefined) return { kind: 'failed', detail: 'no answer' };
+          const taken = run.end();
+          if (taken.kind === 'unusable') return this.#broken(taken.detail);
           this.#noteFirstByte();
-          run.end(head);
-          return { kind: 'delivered', status: head.status };
+          return { kind: 'delivered', status };
+        }
         case 'failed':
           return this.#failedAttempt(piece.failure.verdict, piece.failure.detail, signal, discard);
         case 'events':
@@ -413,7 +426,7 @@
   }
 
   #broken(detail: string): Attempt {
-    return { kind: this.#response.isOpen ? 'cut' : 'failed', detail };
+    return { kind: this.#caller.isOpen ? 'cut' : 'failed', detail };
   }
 
   #noteFirstByte(): void {
@@ -423,7 +436,7 @@
   #reply(status: number, reason: string, headers: Readonly<Record<string, string>> = {}): void {
     // The rest of a body that is too large is not read, so its connection cannot be used again.
     const closes = this.parts.isClosing() || status === statuses.tooLarge;
-    this.#response.reply(status, reason, headers, closes);
+    this.#caller.reply(status, reason, headers, closes);
   }
 
   /** Work that may not be repeated goes on when its caller leaves; everything else stops. */
@@ -466,7 +479,7 @@
   /** The request has not run and will not. */
   #refuse(reason: string, retryAfter: Milliseconds): void {
     this.parts.metrics.refusals.inc({ reason });
-    if (this.#response.isOpen) {
+    if (this.#caller.isOpen) {
       this.#fail(reason, 'notRun');
       return;
     }
@@ -482,7 +495,7 @@
 
   /** The request may have run, or a part of its answer was handed on. */
   #fail(reason: string, verdict: Verdict): void {
-    if (this.#response.isOpen) this.#response.breakOff();
+    if (this.#caller.isOpen) this.#caller.breakOff();
     else this.#reply(reason === 'deadline' ? statuses.timeout : statuses.failed, reason);
     this.#end('failed', reason, verdict);
   }
@@ -499,11 +512,11 @@
       outcome,
       reason,
       verdict,
-      status: this.#response.status,
+      status: this.#caller.status,
       connection: this.connection.number,
       onConnection: this.connection.requests,
-      declared: this.#response.declared,
-      handedOn: this.#response.handedOn,
+      declared: this.#caller.declared,
+      handedOn: this.#caller.handedOn,
       route: route?.name,
       team: this.#team?.name,
       priority: this.#team?.priority ?? route?.priority,
--- a/packages/standins/src/stack/review18.test.ts
+++ b/packages/standins/src/stack/answerBytes.test.ts
@@ -6,6 +6,8 @@
 import { once } from 'node:events';
 import { after, afterEach, before, beforeEach, test } from 'node:test';
 import { setTimeout as pause } from 'node:timers/promises';
+import { setFlagsFromString } from 'node:v8';
+import { runInNewContext } from 'node:vm';
 import { CallerConnection, type Answer } from './callerConnection.js';
 import { StackFleet, desiredStateOf, modelFields, names, until } from './fleet.js';
 import { RawServer, type RawRequest, type Script } from './rawServer.js';
@@ -994,7 +996,13 @@
     1,
     100,
   );
-  const used = (): number => process.memoryUsage().heapUsed + process.memoryUsage().external;
+  // What the many pieces leave behind is not held, and goes with the next collection.
+  setFlagsFromString('--expose-gc');
+  const collect = runInNewContext('gc') as () => void;
+  const used = (): number => {
+    collect();
+    return process.memoryUsage().heapUsed + process.memoryUsage().external;
+  };
   const begun = used();
   for (let index = 0; index < requests; index += 1) {
     const socket = await open();
