--- a/packages/coordination/src/routing/answers.test.ts
+++ b/packages/coordination/src/routing/answers.test.ts
@@ -2,7 +2,7 @@
 
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { judge, type AnswerFacts, type Judgement, type Standpoint } from './answers.js';
+import { isForeign, judge, type AnswerFacts, type Judgement, type Standpoint } from './answers.js';
 
 const whole: AnswerFacts = {
   status: 200,
@@ -23,21 +23,22 @@
 // Guards against a caller that gets the late second answer to the request before, whatever it says.
 test('an answer that does not name the request is never used, be it a success, a failure or a refusal', () => {
   for (const names of ['anotherRequest', 'noRequest'] as const)
-    for (const standpoint of [first, last, continued])
-      for (const changes of [
-        {},
-        { status: 500 },
-        { status: 500, isSigned: false },
-        { status: 503, isNotRun: true, isPromise: true, isSigned: false },
-        { status: 421, isNotRun: true, isPromise: true, isSigned: false },
-      ])
-        assert.equal(kindOf({ ...changes, names }, standpoint), 'foreign');
+    for (const changes of [
+      {},
+      { status: 500 },
+      { status: 500, isSigned: false },
+      { status: 503, isNotRun: true, isPromise: true, isSigned: false },
+      { status: 421, isNotRun: true, isPromise: true, isSigned: false },
+    ])
+      assert.ok(isForeign({ ...whole, ...changes, names }));
+  assert.ok(!isForeign(whole));
 });
 
 // Guards against a success that no server signed, and against a body that is not the server's.
 test('a success without signature or with an encoded body is not handed on', () => {
   assert.equal(kindOf({}, last), 'accepted');
-  assert.equal(kindOf({ isSigned: false }, last), 'foreign');
+  assert.ok(isForeign({ ...whole, isSigned: false }));
+  assert.ok(!isForeign({ ...whole, status: 500, isSigned: false }));
   assert.equal(kindOf({ isEncoded: true }, last), 'unusable');
 });
 
--- a/packages/coordination/src/routing/answers.ts
+++ b/packages/coordination/src/routing/answers.ts
@@ -21,8 +21,6 @@
 export type Judgement =
   /** It may be handed on. */
   | { readonly kind: 'accepted' }
-  /** It belongs to another request or to none; its connection cannot be used any more. */
-  | { readonly kind: 'foreign'; readonly detail: string }
   /** The server did not run the request. */
   | { readonly kind: 'notRun' }
   /** It is this request's, but its caller must not get it. */
@@ -36,21 +34,27 @@
   readonly mayRepeat: boolean;
 }
 
-/** Decides what may be done with an answer by its head. */
+/**
+ * Whether the answer is that of another request, or of none. Its connection cannot be used any more, since the server may be an
+ * answer ahead on it.
+ */
+export function isForeign({ status, names, isSigned }: AnswerFacts): boolean {
+  return names !== 'thisRequest' || (isSuccess(status) && !isSigned);
+}
+
+/** Decides by its head what may be done with an answer that is not foreign. */
 export function judge(facts: AnswerFacts, { isOpen, mayRepeat }: Standpoint): Judgement {
-  const { status, names, isSigned, isNotRun, isPromise, isEncoded } = facts;
-  if (names !== 'thisRequest')
-    return { kind: 'foreign', detail: `answer belongs to ${belongings[names]}` };
+  const { status, isNotRun, isPromise, isEncoded } = facts;
   // A refusal that is no promise to callers is the last server's own answer if no other server is tried.
   if (isNotRun && (isPromise || mayRepeat)) return { kind: 'notRun' };
-  const isSuccess = status >= 200 && status < 300;
-  if (isSuccess && !isSigned) return { kind: 'foreign', detail: 'answer without a signature' };
   if (isEncoded) return { kind: 'unusable', detail: 'an encoded body' };
   if (isPromise)
     return { kind: 'unusable', detail: `status ${status} of a request that may have run` };
-  if (!isSuccess && isOpen) return { kind: 'unusable', detail: `status ${status}` };
+  if (!isSuccess(status) && isOpen) return { kind: 'unusable', detail: `status ${status}` };
   if (status >= 500 && mayRepeat) return { kind: 'unusable', detail: `status ${status}` };
   return { kind: 'accepted' };
 }
 
-const belongings = { anotherRequest: 'another request', noRequest: 'no request' } as const;
+function isSuccess(status: number): boolean {
+  return status >= 200 && status < 300;
+}
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -3,7 +3,9 @@
 
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import {
+  isForeign,
   judge,
+  type AnswerFacts,
   type Basis,
   type Dispatcher,
   type Grant,
@@ -17,6 +19,7 @@
   encodeFields,
   fields,
   isMisdirected,
+  type AnswerFields,
   type RequestHead,
 } from '@catkinwheel/platform';
 import type { Clock, Milliseconds } from '@catkinwheel/state';
@@ -350,16 +353,20 @@
     let status = 0;
     let discard: Attempt | undefined;
     let discarded = 0;
-    for await (const piece of connections.send(id, address, outgoing, signal)) {
+    const facts = (code: number, headers: AnswerFields): AnswerFacts =>
+      decodeAnswerHead(this.#head.id, code, headers);
+    // A connection that brings another request's answer may stay behind, so it is not only passed over.
+    const isOurs = (code: number, headers: AnswerFields): boolean =>
+      !isForeign(facts(code, headers));
+    for await (const piece of connections.send(id, address, outgoing, signal, isOurs)) {
       switch (piece.kind) {
         case 'head': {
           ({ status } = piece);
-          const facts = decodeAnswerHead(this.#head.id, status, piece.headers);
-          const judgement = judge(facts, { isOpen: this.#caller.isOpen, mayRepeat });
+          const judgement = judge(facts(status, piece.headers), {
+            isOpen: this.#caller.isOpen,
+            mayRepeat,
+          });
           switch (judgement.kind) {
-            case 'foreign':
-              // The connection has answers in it that are not ours.
-              return { kind: 'failed', detail: judgement.detail };
             case 'accepted':
               run = answer.nextRun(piece);
               if (run === undefined) return this.#broken('another kind of answer');
--- a/packages/gateway/src/serverConnections.ts
+++ b/packages/gateway/src/serverConnections.ts
@@ -3,7 +3,7 @@
 
 import type { Piece } from '@catkinwheel/protocol';
 import type { Milliseconds } from '@catkinwheel/state';
-import { Exchange } from '@catkinwheel/transport/exchange';
+import { Exchange, type AnswerTest } from '@catkinwheel/transport/exchange';
 import { Pool } from 'undici';
 
 /** A server that does not accept a connection within this time is taken as out of reach. */
@@ -37,15 +37,16 @@
 
   /**
    * Sends a request once. A failure has verdict `notRun` exactly if no byte of it can have left. Aborting
-   * `signal` closes the connection, upon which most servers stop.
+   * `signal` closes the connection, upon which most servers stop. So does an answer that is not `isOurs`.
    */
   send(
     id: string,
     address: string,
     request: Outgoing,
     signal: AbortSignal,
+    isOurs: AnswerTest,
   ): AsyncGenerator<Piece, void, void> {
-    const exchange = Exchange.create(request.method, false, signal, () => undefined);
+    const exchange = Exchange.create(request.method, false, signal, () => undefined, isOurs);
     this.#pool(id, address).dispatch({ ...request }, exchange);
     return exchange.pieces();
   }
--- a/packages/standins/src/stack/answerBytes.test.ts
+++ b/packages/standins/src/stack/answerBytes.test.ts
@@ -794,6 +794,31 @@
       connection.close();
     });
 
+// Guards against a connection that stays one answer behind: each later request on it got the answer before its own.
+test('a connection on which the answer to another request came is not used again', async () => {
+  let isLate = false;
+  await start(
+    names.desk,
+    (request) => {
+      // The second request gets the first one's answer once more, and no other.
+      if (request.connection === 0 && isLate)
+        request.socket.write(whole({ ...request, id: 'other' }));
+      else answers(request);
+    },
+    1,
+  );
+  const connection = await CallerConnection.open(address());
+  const charge = { method: 'POST', body: 'x' };
+  const statuses: (number | undefined)[] = [];
+  for (let round = 0; round < 4; round += 1) {
+    isLate = round > 0;
+    const { answer } = await ask(connection, '/charges/1', charge);
+    statuses.push(answer.kind === 'whole' ? answer.status : undefined);
+  }
+  connection.close();
+  assert.deepEqual(statuses, [200, 502, 200, 200]);
+});
+
 // Guards against bytes behind a whole answer, in the same segment or later.
 for (const delay of [0, 5, 40] as const)
   test(`bytes behind a whole answer after ${delay} ms reach no caller`, async () => {
--- a/packages/transport/src/backend.ts
+++ b/packages/transport/src/backend.ts
@@ -5,7 +5,7 @@
 import { requestIdField } from '@catkinwheel/protocol';
 import type { Milliseconds } from '@catkinwheel/state';
 import { Pool, type Dispatcher } from 'undici';
-import { Exchange } from './exchange.js';
+import { Exchange, type AnswerTest } from './exchange.js';
 
 /** Servers are a few milliseconds away; one that does not accept within this time is taken as gone. */
 const connectTimeout: Milliseconds = 1_000;
@@ -86,7 +86,8 @@
     const onCancel = (): void => {
       if (hungReasons.has(signal.reason)) this.#retire(address);
     };
-    const exchange = Exchange.create(request.method, body === 'events', signal, onCancel, id);
+    const isOurs: AnswerTest = (_, headers) => headers[requestIdField] === id;
+    const exchange = Exchange.create(request.method, body === 'events', signal, onCancel, isOurs);
     this.#pool(address).dispatch(optionsOf(request), exchange);
     return exchange.pieces();
   }
--- a/packages/transport/src/exchange.ts
+++ b/packages/transport/src/exchange.ts
@@ -2,7 +2,7 @@
 // and knows exactly whether the first byte of the request may have left.
 
 import { StringDecoder } from 'node:string_decoder';
-import { requestIdField, type Head, type Piece } from '@catkinwheel/protocol';
+import type { Head, Piece } from '@catkinwheel/protocol';
 import type { Failure } from '@catkinwheel/state';
 import { mayHaveRun, notRun } from '@catkinwheel/state';
 import { createParser, type EventSourceParser } from 'eventsource-parser';
@@ -18,13 +18,16 @@
 
 type Headers = Parameters<NonNullable<Dispatcher.DispatchHandler['onResponseStart']>>[2];
 
+/** Whether an answer with this head is that to the request. */
+export type AnswerTest = (status: number, headers: Headers) => boolean;
+
 /** The handler of one request. Reading `pieces` to its end or closing it early ends the exchange. */
 export class Exchange implements Dispatcher.DispatchHandler {
   readonly #parsesEvents: boolean;
   readonly #isHeadRequest: boolean;
   readonly #signal: AbortSignal;
   readonly #onCancel: () => void;
-  readonly #id: string | undefined;
+  readonly #isOurs: AnswerTest;
   readonly #onAbort = (): void => {
     this.#fail(new Error('cancelled'));
     this.#onCancel();
@@ -45,10 +48,10 @@
     parsesEvents: boolean,
     signal: AbortSignal,
     onCancel: () => void,
-    id: string | undefined,
+    isOurs: AnswerTest,
   ) {
     this.#onCancel = onCancel;
-    this.#id = id;
+    this.#isOurs = isOurs;
     this.#isHeadRequest = method === 'HEAD';
     this.#parsesEvents = parsesEvents;
     this.#signal = signal;
@@ -56,17 +59,17 @@
   }
 
   /**
-   * Aborting `signal` closes the connection and calls `onCancel`. An answer that does not echo `id`, if
-   * given, is refused.
+   * Aborting `signal` closes the connection and calls `onCancel`. An answer for which `isOurs` is false is that of
+   * another request; it is refused, and its connection closed.
    */
   static create(
     method: string,
     parsesEvents: boolean,
     signal: AbortSignal,
     onCancel: () => void,
-    id?: string,
+    isOurs: AnswerTest,
   ): Exchange {
-    return new Exchange(method, parsesEvents, signal, onCancel, id);
+    return new Exchange(method, parsesEvents, signal, onCancel, isOurs);
   }
 
   /** The pieces of the answer; the last one is `end` or `failed`. */
@@ -108,9 +111,9 @@
         this.#end(mayHaveRun('truncatedAnswer', 'interim answers without end'));
       return;
     }
-    if (this.#id !== undefined && headers[requestIdField] !== this.#id) {
+    if (!this.#isOurs(status, headers)) {
       // What the server sends next may be one answer behind too, so the connection is not kept.
-      this.#end(mayHaveRun('answerMismatch', 'the server answered with the id of another request'));
+      this.#end(mayHaveRun('answerMismatch', 'the server answered another request'));
       return;
     }
     const isEmpty = this.#isHeadRequest || status === 204 || status === 304;
