Cut answers whose end is told by the connection, and see callers leave behind a queue

Two faults of the delivery, mended together since both concern its close.

A caller of HTTP 1.0 got an answer that was broken off as a whole one: its body has neither length nor chunks there, so that the close of the connection is its end. Such an answer is now reset. Over TLS this is not tested.

An answer that waits behind another one of its connection was not told that its caller had left, so its call was never aborted, the request counted as in flight for good, and the router could not close. Node tells only the answer whose turn it is. The delivery now listens to the connection itself.

--- a/packages/transport/src/delivery.ts
+++ b/packages/transport/src/delivery.ts
@@ -26,13 +26,19 @@
   readonly #response: ServerResponse;
   readonly #gone = new AbortController();
   #isEvents = false;
+  #endsWithConnection = false;
 
   private constructor(options: DeliveryOptions) {
     this.#options = options;
     this.#response = options.response;
-    this.#response.once('close', () => {
+    const { socket } = this.#response.req;
+    const onClose = (): void => {
+      socket.off('close', onClose);
       if (!this.#response.writableFinished) this.#gone.abort();
-    });
+    };
+    this.#response.once('close', onClose);
+    // An answer that waits behind another one on its connection is not told of the close.
+    socket.once('close', onClose);
   }
 
   static create(options: DeliveryOptions): Delivery {
@@ -47,7 +53,7 @@
   /** Hands on all pieces; reads on to the end when the caller has left. */
   async run(pieces: AsyncGenerator<Piece, void, void>): Promise<void> {
     for await (const piece of pieces) {
-      if (this.#response.destroyed) continue;
+      if (this.#isClosed) continue;
       const wrote = this.#write(piece);
       if (!wrote) await this.#drained();
     }
@@ -69,10 +75,21 @@
       const problem = JSON.stringify(problemOf(failure, requestId, routers()));
       this.#response.end(`event: error\ndata: ${problem}\n\n`);
     } else {
-      this.#response.destroy();
+      this.#cut();
     }
   }
 
+  /** Closes the connection, so that the answer does not look whole. */
+  #cut(): void {
+    // A body without a length and without chunks, as for HTTP 1.0, is whole once its connection is closed.
+    if (this.#endsWithConnection) this.#response.socket?.resetAndDestroy();
+    this.#response.destroy();
+  }
+
+  get #isClosed(): boolean {
+    return this.#response.destroyed || this.gone.aborted;
+  }
+
   /** False if the caller does not keep up. */
   #write(piece: Piece): boolean {
     switch (piece.kind) {
@@ -96,15 +113,23 @@
 
   #head(head: Head): void {
     this.#isEvents = head.events;
-    this.#response.writeHead(head.status, callerFields(head) as OutgoingHttpHeaders);
+    const fields = callerFields(head);
+    this.#response.writeHead(head.status, fields as OutgoingHttpHeaders);
+    this.#endsWithConnection =
+      fields['content-length'] === undefined && !this.#response.chunkedEncoding;
   }
 
   /** Resolves once the last byte was handed to the system, or the connection is closed. */
   #flushed(): Promise<void> {
     const response = this.#response;
-    if (response.writableFinished || response.destroyed) return Promise.resolve();
+    if (response.writableFinished || this.#isClosed) return Promise.resolve();
     return new Promise((resolve) => {
-      response.once('close', resolve);
+      const settle = (): void => {
+        this.gone.removeEventListener('abort', settle);
+        resolve();
+      };
+      response.once('close', settle);
+      this.gone.addEventListener('abort', settle);
     });
   }
 
@@ -114,10 +139,14 @@
       const settle = (): void => {
         clearTimeout(timer);
         response.off('drain', settle).off('close', settle);
+        this.gone.removeEventListener('abort', settle);
         resolve();
       };
-      const timer = setTimeout(() => response.destroy(), stallTimeout);
+      const timer = setTimeout(() => {
+        this.#cut();
+      }, stallTimeout);
       response.on('drain', settle).on('close', settle);
+      this.gone.addEventListener('abort', settle);
     });
   }
 }
--- a/packages/transport/src/front.test.ts
+++ b/packages/transport/src/front.test.ts
@@ -296,6 +296,28 @@
   assert.equal(front.inFlight, 0);
 });
 
+// Guards against work for a caller that is gone, and a router that never gets rid of it.
+test('a caller that leaves aborts its calls whose answers wait behind another one', async () => {
+  const { port, front, calls } = await serve(async function* (_, caller) {
+    yield { kind: 'head', status: 200, headers: {}, events: true };
+    yield { kind: 'events', data: ['x'.repeat(100_000)] };
+    await new Promise((resolve) => {
+      if (caller.aborted) resolve(undefined);
+      caller.addEventListener('abort', resolve);
+    });
+    yield { kind: 'failed', failure: mayHaveRun('callerGone', 'gone') };
+  });
+  const socket = connect(port, '127.0.0.1');
+  socket.on('error', () => undefined);
+  socket.write(`${start}Content-Length: 0\r\n\r\n`.repeat(3));
+  while (calls.length < 3) await new Promise((resolve) => setTimeout(resolve, 5));
+  socket.destroy();
+  for (let tries = 0; tries < 100 && front.inFlight > 0; tries += 1) {
+    await new Promise((resolve) => setTimeout(resolve, 10));
+  }
+  assert.equal(front.inFlight, 0);
+});
+
 test('a caller that does not read stops the flow of pieces', async () => {
   let produced = 0;
   const { port } = await serve(async function* (_, caller) {
