Answer a malformed request behind the answers that are due before it

A caller that sent bytes that are no request behind a request that ran was told 400 with verdict notRun in place of its answer, or within it. A refused request whose body was broken got a second answer, which a caller takes for that of its next request.

The refusal was given to the latest answer of the connection as long as nothing of it was sent, or written to the connection at once, whatever was still due on it.

If the latest request was read to its end, the refusal now follows its answer; else it is the answer of that request, which gets no other. Node tells of a malformed connection more than once, and only the first time counts.

--- a/packages/catkinwheeld/src/rawPeers.test.ts
+++ b/packages/catkinwheeld/src/rawPeers.test.ts
@@ -154,5 +154,7 @@
 
 /** Long bodies of one letter as the letter and their length. */
 function shorten(body: string): string {
-  return body.length > 1_000 && /^(.)\1*$/.test(body) ? `${body[0] ?? ''}*${body.length}` : body;
+  const [letter = ''] = body;
+  const isLong = body.length > 1_000 && body === letter.repeat(body.length);
+  return isLong ? `${letter}*${body.length}` : body;
 }
--- a/packages/transport/src/front.ts
+++ b/packages/transport/src/front.ts
@@ -86,6 +86,8 @@
   readonly #reader: CallReader;
   /** The latest answer on each connection. */
   readonly #answers = new WeakMap<Socket, ServerResponse>();
+  /** Connections on which a request was malformed. */
+  readonly #malformed = new WeakSet<Socket>();
   #inFlight = 0;
   #onIdle: (() => void) | undefined;
 
@@ -165,6 +167,8 @@
     const accept = (incoming: IncomingMessage, outgoing: ServerResponse): void => {
       outgoing.setHeader(requestIdField, CallReader.nextId());
       this.#answers.set(incoming.socket, outgoing);
+      // Each request under way listens for the close; a caller may send many at once.
+      incoming.socket.setMaxListeners(0);
       void listener(incoming, outgoing).then(() => {
         if (!outgoing.headersSent && !outgoing.destroyed) this.#refuse({ outgoing }, malformed);
       });
@@ -175,6 +179,9 @@
         ? createServer(settings, accept)
         : createTlsServer({ ...settings, ...tls }, accept);
     server.on('clientError', (error: Error, socket: Socket) => {
+      // Node tells again of each further packet, and of a slow request with each check.
+      if (this.#malformed.has(socket)) return;
+      this.#malformed.add(socket);
       this.#count(refuseMalformed(error, socket, this.#answers.get(socket)));
     });
     return server;
--- a/packages/transport/src/malformed.ts
+++ b/packages/transport/src/malformed.ts
@@ -8,27 +8,35 @@
 import { problemOf, sendProblem } from './problem.js';
 
 /**
- * Answers a request that could not be parsed or came too slowly, and closes its connection.
- * `current` is the answer under way on that connection, if any.
+ * Answers a request that could not be parsed or came too slowly, behind the answers due before it, and
+ * closes its connection. `latest` answers the last request on that connection that had a whole head.
  */
 export function refuseMalformed(
   error: Error,
   socket: Socket,
-  current: ServerResponse | undefined,
+  latest: ServerResponse | undefined,
 ): Failure {
   const failure = failureOf(error);
-  if (current !== undefined && !current.writableEnded) {
-    if (current.headersSent) socket.destroy();
-    else sendProblem(current, failure, String(current.getHeader('x-request-id')), []);
-    socket.destroySoon();
-  } else if (socket.writable) {
-    socket.end(rawProblem(failure));
+  if (latest === undefined || latest.req.complete) {
+    // The request at fault has no answer of its own, since its head was not read.
+    whenFinished(latest, () => socket.end(rawProblem(failure)));
   } else {
-    socket.destroy();
+    if (!latest.headersSent) {
+      sendProblem(latest, failure, String(latest.getHeader('x-request-id')), []);
+    }
+    whenFinished(latest, () => {
+      socket.destroySoon();
+    });
   }
+  if (!socket.writable) socket.destroy();
   return failure;
 }
 
+function whenFinished(answer: ServerResponse | undefined, act: () => void): void {
+  if (answer === undefined || answer.writableFinished) act();
+  else answer.once('finish', act);
+}
+
 function failureOf(error: Error): Failure {
   switch ('code' in error ? error.code : undefined) {
     case 'ERR_HTTP_REQUEST_TIMEOUT':
