--- a/packages/coordination/src/routing/overload.test.ts
+++ b/packages/coordination/src/routing/overload.test.ts
@@ -4,13 +4,21 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { Clock, type Milliseconds } from '@catkinwheel/state';
-import { AcceptQueue, acceptBacklog, isTooOld } from './overload.js';
+import { AcceptQueue, acceptBacklog, hasLeft, isTooOld } from './overload.js';
 
-/** Time that a request takes from the event loop if it is served, and if it is refused, at a third of a core. */
-const serving: Milliseconds = 8;
-const refusing: Milliseconds = 1.5;
+/** Time that a request takes from the event loop. */
+interface Vm {
+  readonly serving: Milliseconds;
+  readonly refusing: Milliseconds;
+}
+
+const thirdOfCore: Vm = { serving: 8, refusing: 1.5 };
+/** A VM a twentieth as fast as the core that it states. */
+const twentieth: Vm = { serving: 100, refusing: 19 };
 /** Time after which a caller leaves a request that was not read. */
 const patience: Milliseconds = 1_000;
+/** A request may be sent on for so long after its caller has left. */
+const lateAfter: Milliseconds = 500;
 
 interface Outcome {
   readonly served: number;
@@ -19,22 +27,62 @@
   readonly turnedAway: number;
   /** Requests that were accepted when their callers had left. */
   readonly left: number;
+  /** Of these, the ones that were sent on too late. */
+  readonly late: number;
   readonly longestWait: Milliseconds;
 }
 
+interface Plan {
+  /** Whether what waited for too long is refused. */
+  readonly refuses: boolean;
+  /** Whether the router looks if a caller has left before it serves the request. */
+  readonly looks?: boolean;
+  readonly vm?: Vm;
+  /** Time for which the VM stands still at first. */
+  readonly standstill?: Milliseconds;
+}
+
 /** Plays arrivals at `rate` a second for ten seconds, with room for `backlog` connections. */
-async function play(rate: number, backlog: number, refuses: boolean): Promise<Outcome> {
+async function play(
+  rate: number,
+  backlog: number,
+  { refuses, looks = false, vm = thirdOfCore, standstill = 0 }: Plan,
+): Promise<Outcome> {
   const clock = Clock.manual(1_000);
   const start = clock.now();
   const queue = AcceptQueue.create(clock, backlog);
   const waiting: (Milliseconds | 'probe')[] = [];
+  const turns: (() => void)[] = [];
+  const read: Milliseconds[] = [];
   let arrived = 0;
-  let [served, refused, turnedAway, left, longestWait] = [0, 0, 0, 0, 0];
+  let [served, refused, turnedAway, left, late, longestWait] = [0, 0, 0, 0, 0, 0];
+  const look = async (arrival: Milliseconds): Promise<void> => {
+    const turn = (): Promise<void> =>
+      new Promise((resolve) => {
+        turns.push(resolve);
+      });
+    if (await hasLeft(turn, () => clock.now() - arrival > patience)) left += 1;
+    else read.push(arrival);
+  };
+  const serve = async (arrival: Milliseconds, work: Milliseconds): Promise<void> => {
+    const wait = clock.now() - arrival;
+    if (wait > patience) left += 1;
+    else {
+      served += 1;
+      longestWait = Math.max(longestWait, wait);
+    }
+    if (wait > patience + lateAfter) late += 1;
+    await clock.advance(work);
+  };
+  await clock.advance(standstill);
   while (clock.now() - start < 10_000) {
     for (; arrived < ((clock.now() - start) * rate) / 1_000; arrived += 1) {
       if (waiting.length < backlog) waiting.push(start + (arrived * 1_000) / rate);
       else turnedAway += 1;
     }
+    for (const turn of turns.splice(0)) turn();
+    await Promise.resolve();
+    for (const arrival of read.splice(0)) await serve(arrival, vm.serving - vm.refusing);
     const next = waiting.shift();
     if (next === undefined) {
       await clock.advance(1);
@@ -54,22 +102,19 @@
     if (next === 'probe') continue;
     if (refuses && isOld) {
       refused += 1;
-      await clock.advance(refusing);
-      continue;
+      await clock.advance(vm.refusing);
+    } else if (looks) {
+      void look(next);
+      await clock.advance(vm.refusing);
+    } else {
+      await serve(next, vm.serving);
     }
-    const wait = clock.now() - next;
-    if (wait > patience) left += 1;
-    else {
-      served += 1;
-      longestWait = Math.max(longestWait, wait);
-    }
-    await clock.advance(serving);
   }
-  return { served, refused, turnedAway, left, longestWait };
+  return { served, refused, turnedAway, left, late, longestWait };
 }
 
 /** Requests that the router can serve in ten seconds. */
-const capacity = 10_000 / serving;
+const capacity = 10_000 / thirdOfCore.serving;
 const rate = capacity / 10;
 /** Cores of a VM that relays so many. */
 const cores = rate / 200;
@@ -77,13 +122,11 @@
 
 // Guards against issue 15: only requests whose callers had left were accepted, so that none was served.
 test('under three times its capacity a router uses its time for requests whose callers still wait', async () => {
-  const collapsed = await play(3 * rate, endless, false);
+  const collapsed = await play(3 * rate, endless, { refuses: false });
   assert.ok(collapsed.left > collapsed.served, 'the pattern has to collapse with a long queue');
-  const { served, left, longestWait, turnedAway } = await play(
-    3 * rate,
-    acceptBacklog(cores),
-    true,
-  );
+  const { served, left, longestWait, turnedAway } = await play(3 * rate, acceptBacklog(cores), {
+    refuses: true,
+  });
   assert.equal(left, 0);
   assert.ok(served >= 0.95 * capacity, `${served} served`);
   assert.ok(turnedAway > capacity);
@@ -91,14 +134,34 @@
 });
 
 test('a router that is slower than its queue is long refuses what is too old, and serves half of what it can', async () => {
-  const { served, left, longestWait } = await play(3 * rate, endless, true);
+  const { served, left, longestWait } = await play(3 * rate, endless, { refuses: true });
   assert.equal(left, 0);
   assert.ok(served >= 0.5 * capacity, `${served} served`);
   assert.ok(longestWait < patience, `${longestWait} ms`);
 });
 
+const slowFlood = (3 * 1_000) / twentieth.serving;
+
+// Guards against requests that are sent on 0.5 s and more after their callers have left: the queue fills while such a VM stands
+// still, and what is accepted before a probe has waited for long has a wait that is not known.
+test('a VM a twentieth as fast as stated sends nothing on late after a standstill', async () => {
+  const plan = { refuses: true, vm: twentieth, standstill: 2_500 };
+  const unseen = await play(slowFlood, acceptBacklog(1), plan);
+  assert.ok(unseen.late > 3, `${unseen.late} late if the router does not look`);
+  const { served, late } = await play(slowFlood, acceptBacklog(1), { ...plan, looks: true });
+  assert.ok(late <= 3, `${late} late`);
+  assert.ok(served >= unseen.served, `${served} served, without looking ${unseen.served}`);
+});
+
+test('a VM a twentieth as fast as stated serves half of what it can under three times that', async () => {
+  const plan = { refuses: true, looks: true, vm: twentieth };
+  const { served, late } = await play(slowFlood, acceptBacklog(1), plan);
+  assert.equal(late, 0);
+  assert.ok(served >= (0.5 * 10_000) / twentieth.serving, `${served} served`);
+});
+
 test('nobody is turned away or refused at nine tenths of the capacity', async () => {
-  const { refused, turnedAway } = await play(0.9 * rate, acceptBacklog(cores), true);
+  const { refused, turnedAway } = await play(0.9 * rate, acceptBacklog(cores), { refuses: true });
   assert.deepEqual({ refused, turnedAway }, { refused: 0, turnedAway: 0 });
 });
 
--- a/packages/coordination/src/routing/overload.ts
+++ b/packages/coordination/src/routing/overload.ts
@@ -1,7 +1,8 @@
 // Load pattern: the callers of a team keep to one router and open more connections than its VM can serve. They wait in
 // the operating system, and the event loop accepts one in each of its turns: no timer is late and nothing seems to
 // wait, while requests grow older than their callers' patience. Serving those uses up the processor for nothing, and
-// refusing each of them takes most of it too; so the queue is kept as short as what can be served in time.
+// refusing each of them takes most of it too; so the queue is kept as short as what can be served in time. A VM that has
+// become slow has too long a queue all the same; there, what its callers have left is not sent on.
 
 import type { Clock, Milliseconds } from '@catkinwheel/state';
 
@@ -112,3 +113,13 @@
 export function isTooOld(wait: Milliseconds): boolean {
   return wait > waitLimit;
 }
+
+/**
+ * Whether the caller of a new connection left before its request was read. What it sent and the end of it are read in two
+ * turns of the event loop, so in the turn that reads the request each caller seems to be there. `turn` ends with the
+ * next one, and `isEnded` tells whether the end was read.
+ */
+export async function hasLeft(turn: () => Promise<void>, isEnded: () => boolean): Promise<boolean> {
+  await turn();
+  return isEnded();
+}
--- /dev/null
+++ b/packages/gateway/src/callerLeft.test.ts
@@ -0,0 +1,46 @@
+// Load pattern: connections wait to be accepted until their callers have left, so that requests and their ends are there
+// when the router begins to read.
+
+import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
+import { connect, type AddressInfo } from 'node:net';
+import { test } from 'node:test';
+import { callerLeft } from './callerLeft.js';
+
+const body = 'x'.repeat(1_500);
+const requestText = `POST / HTTP/1.1\r\nhost: a\r\ncontent-length: ${body.length}\r\n\r\n${body}`;
+
+// Guards against requests that are sent on long after their callers have left (GONE, issue 15): the end of a connection was
+// only noticed when a server had been chosen for its request.
+for (const leaves of [true, false]) {
+  test(`a caller that ${leaves ? 'left' : 'waits'} is told when its request is read`, async (t) => {
+    const told: boolean[] = [];
+    const callers = 20;
+    const server = createServer((request: IncomingMessage, response: ServerResponse) => {
+      assert.ok(!request.socket.destroyed && !request.socket.readableEnded);
+      void callerLeft(request).then((left) => {
+        told.push(left);
+        request.resume();
+        response.end();
+        if (told.length === callers) server.emit('told');
+      });
+    });
+    server.listen({ host: '127.0.0.1', port: 0 });
+    await once(server, 'listening');
+    t.after(() => {
+      server.closeAllConnections();
+      server.close();
+    });
+    const allTold = once(server, 'told');
+    const { port } = server.address() as AddressInfo;
+    for (let index = 0; index < callers; index += 1) {
+      const socket = connect({ host: '127.0.0.1', port }, () => {
+        socket.write(requestText);
+        if (leaves) socket.destroy();
+      });
+    }
+    await allTold;
+    assert.deepEqual(told, Array<boolean>(callers).fill(leaves));
+  });
+}
--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/ingress.ts
@@ -1,5 +1,5 @@
 // The listener for callers' requests. A request whose connection has waited for too long to be accepted is refused before
-// a server is chosen for it.
+// a server is chosen for it, and one whose caller has left meanwhile is dropped.
 
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
@@ -11,6 +11,7 @@
 } from '@catkinwheel/coordination/routing';
 import type { Milliseconds } from '@catkinwheel/state';
 import { AcceptProbe } from './acceptProbe.js';
+import { callerLeft } from './callerLeft.js';
 import { Relay, type ConnectionUse, type RelayParts } from './relay.js';
 
 /** How often connections are checked for the time-outs of their headers. */
@@ -92,7 +93,8 @@
   #serve(request: IncomingMessage, response: ServerResponse, isStopping: boolean): void {
     const { parts } = this;
     if (isStopping) response.setHeader('connection', 'close');
-    const relay = Relay.create(parts, request, response, this.#use(request.socket));
+    const use = this.#use(request.socket);
+    const relay = Relay.create(parts, request, response, use);
     const wait = this.#old.get(request.socket);
     if (wait !== undefined) {
       this.#old.delete(request.socket);
@@ -101,13 +103,19 @@
     }
     this.#underWay += 1;
     parts.metrics.underWay.inc();
-    void relay.run().then(() => {
+    void this.#run(relay, request, use).then(() => {
       this.#underWay -= 1;
       this.#lastEnd = parts.clock.now();
       parts.metrics.underWay.dec();
     });
   }
 
+  async #run(relay: Relay, request: IncomingMessage, use: ConnectionUse): Promise<void> {
+    // Later requests of a connection have not waited for it to be accepted. What is destroyed is not sent on.
+    if (use.requests === 1 && (await callerLeft(request))) request.destroy();
+    await relay.run();
+  }
+
   #use(socket: Socket): ConnectionUse {
     const known = this.#uses.get(socket);
     if (known === undefined) this.#connections += 1;
