--- a/packages/standins/src/stack/routerProcess.ts
+++ b/packages/standins/src/stack/routerProcess.ts
@@ -15,6 +15,8 @@
 /** Time within which a router has to be ready after its start, with nothing wrong around it. */
 const readyWithin: Milliseconds = 10_000;
 const askInterval: Milliseconds = 50;
+/** Unit of processor times that Linux states for processes, on all its platforms that node runs on. */
+const clockTick: Milliseconds = 10;
 
 const running = new Set<ChildProcess>();
 process.on('exit', () => {
@@ -30,6 +32,12 @@
   readonly directory: number;
 }
 
+/** Processor time of a process in its own code and in the operating system. */
+export interface ProcessorTime {
+  readonly user: Milliseconds;
+  readonly system: Milliseconds;
+}
+
 /** One router of a fleet at an address of its own. It may be started several times. */
 export class RouterProcess {
   #child: ChildProcess | undefined;
@@ -49,6 +57,10 @@
       readonly grace: Milliseconds;
       /** Speed that the platform states for the VM, in cores; 1 if left out. */
       readonly capacity?: number;
+      /** Options of node before the program. */
+      readonly nodeOptions?: readonly string[];
+      /** File of the program; the built one if left out. */
+      readonly program?: string;
     },
   ) {}
 
@@ -71,6 +83,7 @@
 
   start(): void {
     const { ip, ports, dataCentre, store, seeds, folder, grace, capacity = 1 } = this.options;
+    const { nodeOptions = [], program = gatewayMain } = this.options;
     mkdirSync(folder, { recursive: true });
     const at = (port: number): string => `${ip}:${port}`;
     const file = join(folder, `${this.name}.json`);
@@ -95,7 +108,7 @@
     };
     writeFileSync(file, JSON.stringify(settings));
     this.#starts += 1;
-    const child = spawn(process.execPath, [gatewayMain], {
+    const child = spawn(process.execPath, [...nodeOptions, program], {
       env: { PATH: process.env.PATH, CATKINWHEEL_BOOT: file },
       stdio: ['ignore', 'pipe', 'pipe'],
     });
@@ -143,6 +156,16 @@
     return Number(resident?.[1]) * 1_024;
   }
 
+  /** Processor time since the start of the process; NaN if it does not run. */
+  processorTime(): ProcessorTime {
+    const { pid } = this.#child ?? {};
+    if (pid === undefined) return { user: NaN, system: NaN };
+    const stat = readFileSync(`/proc/${pid}/stat`, 'utf8');
+    // The name of the command, in parentheses, may contain spaces; the state follows it as the third field.
+    const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
+    return { user: Number(fields[11]) * clockTick, system: Number(fields[12]) * clockTick };
+  }
+
   signal(name: 'SIGSTOP' | 'SIGCONT' | 'SIGHUP'): void {
     this.#child?.kill(name);
   }
