Spoil answers in the soak, and check every byte on kept connections

Its callers keep a connection to every router until it closes, and check answers by answerCheck. Violations of single answers and broken promises name the connection, the request's place on it and the last bytes. Requests of the planned stops are checked in the same way and counted.

The checks, the callers and the series are modules of their own. The check of charges that ran twice covers the planned stops too. A success other than 204 still has to be complete; a 204 has to be what its server gave.

--- a/packages/standins/src/stack/answerCheck.ts
+++ b/packages/standins/src/stack/answerCheck.ts
@@ -91,19 +91,26 @@
   return body === '' && declaresBody && headers['content-type'] === 'application/json';
 }
 
+/** What a caller was told about a request, and where. */
+export interface Told extends Pick<Asked, 'id' | 'kind'> {
+  readonly status: number | undefined;
+  readonly place?: string;
+}
+
 /** What is wrong with the runs of requests, for all that were asked. */
 export function* runFaults(
-  all: Iterable<Pick<Asked, 'id' | 'kind'> & { readonly status: number | undefined }>,
+  all: Iterable<Told>,
   servers: readonly StackServer[],
 ): Generator<string, void, void> {
   const runs = new Map<string, string[]>();
   for (const server of servers)
     for (const id of server.ran) runs.set(id, [...(runs.get(id) ?? []), server.id]);
-  for (const { id, kind, status } of all) {
+  for (const { id, kind, status, place } of all) {
     const at = runs.get(id) ?? [];
-    if (kind === 'charges' && at.length > 1) yield `${id} ran at ${at.join()}`;
+    const told = place === undefined ? '' : ` (${place})`;
+    if (kind === 'charges' && at.length > 1) yield `${id} ran at ${at.join()}${told}`;
     if (status !== undefined && promises.includes(status) && at.length > 0)
-      yield `${id} got ${status}, but ran at ${at.join()}`;
+      yield `${id} got ${status}, but ran at ${at.join()}${told}`;
   }
 }
 
--- a/packages/standins/src/stack/keptCaller.ts
+++ b/packages/standins/src/stack/keptCaller.ts
@@ -10,6 +10,12 @@
 /** Connections of all callers of this process until now. */
 let opened = 0;
 
+/** An answer, and where it came. */
+export interface PlacedAnswer extends Asked {
+  /** The connection, the request's place on it and the bytes received last. */
+  readonly place: string;
+}
+
 /** A caller of one router. */
 export class KeptCaller {
   #connection: CallerConnection | undefined;
@@ -34,16 +40,18 @@
   }
 
   /** Sends a request and checks its answer. A router that cannot be reached gives a broken one. Never rejects. */
-  async ask(id: string, kind: RequestKind, options: AskOptions = {}): Promise<Asked> {
+  async ask(id: string, kind: RequestKind, options: AskOptions = {}): Promise<PlacedAnswer> {
     const { within, method } = options;
     const connection = await this.#open();
-    if (connection === undefined)
-      return { id, kind, answer: { kind: 'broken', status: undefined, bytes: '' }, excess: '' };
+    if (connection === undefined) {
+      const answer = { kind: 'broken', status: undefined, bytes: '' } as const;
+      return { id, kind, answer, excess: '', place: `no connection to ${this.address}` };
+    }
     this.#asked += 1;
     this.#lastId = id;
     const answer = await connection.ask(requestOf(kind, id, method), within);
     const excess = answer.kind === 'whole' ? connection.excess : '';
-    const asked = { id, kind, answer, excess };
+    const asked = { id, kind, answer, excess, place: this.#placeOf(connection) };
     for (const fault of answerFaults(asked, this.servers())) this.#tell(connection, fault);
     if (excess !== '' || !isKept(answer)) this.close();
     return asked;
@@ -80,8 +88,12 @@
   }
 
   #tell(connection: CallerConnection, fault: string): void {
+    this.report(`${fault} (${this.#placeOf(connection)})`);
+  }
+
+  #placeOf({ last }: CallerConnection): string {
     const place = `connection ${this.#number} to ${this.address}, request ${this.#asked} on it`;
-    this.report(`${fault} (${place}, last bytes ${JSON.stringify(connection.last)})`);
+    return `${place}, last bytes ${JSON.stringify(last)}`;
   }
 }
 
--- a/packages/standins/src/stack/soak.ts
+++ b/packages/standins/src/stack/soak.ts
@@ -1,22 +1,19 @@
 // A soak of real router processes on the platform's protocol: random faults from a seed, in series that overlap,
 // and the promises checked from what callers and servers see.
 
-import { Agent } from 'node:http';
 import { setTimeout as pause } from 'node:timers/promises';
 import type { Milliseconds } from '@catkinwheel/state';
 import { oneOf, randomFrom, type Random } from '../random.js';
 import { Relay } from '../relay.js';
-import { call, type CallResult } from './caller.js';
-import { desiredStateOf, freePorts, modelFields, names } from './fleet.js';
+import { call } from './caller.js';
+import { desiredStateOf, freePorts, names } from './fleet.js';
 import { RouterProcess } from './routerProcess.js';
-import { textOf, type Behaviour } from './behaviour.js';
-import { StackServer, streamLength } from './server.js';
+import { StackServer } from './server.js';
+import { SoakCallers } from './soakCallers.js';
+import { SoakChecks, timeout, type Backend, type Node } from './soakChecks.js';
+import { SpoiledSeries } from './spoiledSeries.js';
 import { StackStore } from './store.js';
 
-/** Time limit of the deployment's routes. */
-const timeout: Milliseconds = 3_000;
-/** Time after a route's limit in which its request must have ended: half a second, and the machine's own delays. */
-const endWithin: Milliseconds = 2_500;
 /** Time in which a new desired state has to be in force at undisturbed routers, and the machine's own delays. */
 const inForceWithin: Milliseconds = 3_500;
 /** Time in which a leaving server must get no new request any more, and the machine's own delays. */
@@ -25,30 +22,12 @@
 const settled: Milliseconds = 4_000;
 /** Time from SIGTERM to SIGKILL. */
 const grace: Milliseconds = 5_000;
-/** Time for which callers keep the directory's answer. */
-const addressLife: Milliseconds = 1_000;
-/** Time between two requests of one caller. */
-const callPause: Milliseconds = 25;
 /** Time between two faults, and duration of a fault, at random within these. */
 const quiet = { least: 100, most: 900 } as const;
 const lasting = { least: 200, most: 3_000 } as const;
 /** Time in which a router is started again after it ended. */
 const restart = { least: 50, most: 1_500 } as const;
 
-/** Failures of single answers, drawn for the next few requests of a server. */
-const behaviours: readonly Behaviour[] = [
-  'refuses',
-  'errors',
-  'resets',
-  'cuts',
-  'resetsUnframed',
-  'resetsChunked',
-  'confuses',
-  'hangs',
-];
-/** Kinds of requests. Only charges may run at most once. */
-const kinds = ['letters', 'reads', 'charges'] as const;
-
 export interface SoakOptions {
   readonly seed: number;
   readonly duration: Milliseconds;
@@ -62,6 +41,7 @@
 export interface SoakResult {
   readonly seed: number;
   readonly faults: number;
+  /** Requests sent, with those that no router accepted. */
   readonly requests: number;
   readonly served: number;
   /** New desired states and drained servers that could be checked at undisturbed routers. */
@@ -69,48 +49,19 @@
   readonly violations: readonly string[];
 }
 
-interface Backend {
-  readonly server: StackServer;
-  readonly relay: Relay;
-  readonly service: string;
-  /** Whether its entry says that it leaves. */
-  isLeaving: boolean;
-  /** When it must get no new request any more, and the routers that were undisturbed until then. */
-  drained?: { readonly at: number; readonly nodes: ReadonlySet<Node> };
-}
-
-interface Node {
-  readonly router: RouterProcess;
-  readonly store: Relay;
-  /** When the last fault that touches it ends or ended. */
-  disturbedUntil: number;
-}
-
-interface Request {
-  readonly id: string;
-  readonly kind: (typeof kinds)[number];
-  readonly node: Node;
-  readonly run: number;
-  readonly sent: number;
-}
-
 /** One run of the soak. */
 export class Soak {
   readonly #random: Random;
   readonly #nodes: Node[] = [];
   readonly #backends: Backend[] = [];
-  readonly #violations = new Set<string>();
+  readonly #checks: SoakChecks;
+  readonly #callers: SoakCallers;
   readonly #busy = new Map<string, Promise<void>>();
-  readonly #refused: string[] = [];
   readonly #ended = new AbortController();
-  /** The router that each request was sent to. */
-  readonly #sentTo = new Map<string, Node>();
   #version = 1;
   #storeDisturbedUntil = 0;
   #lastServer = 0;
   #faults = 0;
-  #requests = 0;
-  #served = 0;
   #versionChecks = 0;
   #drainChecks = 0;
 
@@ -118,7 +69,13 @@
     private readonly options: SoakOptions,
     private readonly store: StackStore,
   ) {
-    this.#random = randomFrom(options.seed);
+    const { seed } = options;
+    this.#random = randomFrom(seed);
+    this.#checks = SoakChecks.create((line) => {
+      this.#tell(line);
+    });
+    const servers = (): readonly StackServer[] => this.#backends.map(({ server }) => server);
+    this.#callers = SoakCallers.create(seed, this.#nodes, servers, this.#checks);
   }
 
   /** Runs faults for the duration, heals everything, and checks what is left. */
@@ -126,7 +83,9 @@
     const soak = new Soak(options, await StackStore.start());
     try {
       await soak.#setUp();
-      const callers = Array.from({ length: options.callers }, (_, index) => soak.#caller(index));
+      const callers = Array.from({ length: options.callers }, (_, index) =>
+        soak.#callers.run(index, soak.#ended.signal),
+      );
       const end = performance.now() + options.duration;
       while (performance.now() < end) {
         await pause(soak.#between(quiet));
@@ -138,17 +97,16 @@
       await soak.#calmStops();
       soak.#ended.abort();
       await Promise.all(callers);
-      soak.#checkRuns();
+      soak.#checks.checkRuns(soak.#backends);
     } catch (error) {
-      soak.#violate(`the soak failed: ${String(error)}`);
+      soak.#checks.violate(`the soak failed: ${String(error)}`);
     } finally {
       soak.#ended.abort();
       await soak.#close();
     }
-    const [faults, requests, served] = [soak.#faults, soak.#requests, soak.#served];
+    const { requests, served, violations } = soak.#checks;
     const checks = { versions: soak.#versionChecks, drained: soak.#drainChecks };
-    const violations = [...soak.#violations];
-    return { seed: options.seed, faults, requests, served, checks, violations };
+    return { seed: options.seed, faults: soak.#faults, requests, served, checks, violations };
   }
 
   async #setUp(): Promise<void> {
@@ -188,74 +146,6 @@
     this.store.put('servers', server.id, server.entry(service, entry));
   }
 
-  /** Sends requests one after the other on open connections until the soak ends. */
-  async #caller(index: number): Promise<void> {
-    const random = randomFrom(this.options.seed * 1_000 + index);
-    const agent = new Agent({ keepAlive: true, maxSockets: 1 });
-    let node = oneOf(random, this.#nodes);
-    let chosen = -Infinity;
-    while (!this.#ended.signal.aborted) {
-      if (performance.now() - chosen > addressLife) {
-        node = this.#running(random) ?? node;
-        chosen = performance.now();
-      }
-      await this.#request(node, oneOf(random, kinds), agent);
-      await pause(callPause);
-    }
-    agent.destroy();
-  }
-
-  /** A router that runs, as a caller finds it by the directory. */
-  #running(random: Random): Node | undefined {
-    const running = this.#nodes.filter(({ router }) => router.isRunning);
-    return running.length === 0 ? undefined : oneOf(random, running);
-  }
-
-  async #request(node: Node, kind: Request['kind'], agent: Agent): Promise<void> {
-    this.#requests += 1;
-    const id = `${kind}-${this.#requests}`;
-    const sent = performance.now();
-    const sending: Request = { id, kind, node, run: node.router.run, sent };
-    this.#sentTo.set(id, node);
-    const result = await this.#send(node, kind, id, agent);
-    this.#check(sending, result);
-  }
-
-  #send(node: Node, kind: Request['kind'], id: string, agent: Agent): Promise<CallResult> {
-    const isCharge = kind === 'charges';
-    return call({
-      address: node.router.callers,
-      path: `/${kind}/${id}`,
-      host: names.host,
-      id,
-      agent,
-      timeLeft: timeout,
-      method: isCharge ? 'POST' : 'GET',
-      // The route of charges is public.
-      ...(isCharge ? { body: 'amount=1' } : { key: names.key }),
-      ...(kind === 'letters' ? { headers: modelFields } : {}),
-    });
-  }
-
-  #check(request: Request, result: CallResult): void {
-    const { id, node, sent, kind } = request;
-    const took = performance.now() - sent;
-    const { status, isWhole, headers, body } = result;
-    const isDisturbed = node.disturbedUntil > sent || request.run !== node.router.run;
-    if (!isDisturbed && took > timeout + endWithin)
-      this.#violate(`${id} had no end at ${node.router.name} after ${Math.round(took)} ms`);
-    if ([408, 421, 429, 503].includes(status)) this.#refused.push(id);
-    if (status === 401 || status === 404)
-      this.#violate(`${id} got ${status} from ${node.router.name}, though it is allowed`);
-    if (status < 200 || status >= 300 || !isWhole) return;
-    this.#served += 1;
-    if (headers['request-id'] !== id || headers['response-seal'] === undefined)
-      this.#violate(`${id} got an answer without a server's seal or of another request`);
-    const isComplete =
-      kind === 'letters' ? eventsOf(body) === expectedEvents : body.endsWith(` ran ${id}`);
-    if (!isComplete) this.#violate(`${id} got half an answer that looks whole: ${body}`);
-  }
-
   #startFault(): void {
     const [part, begin] = this.#chooseFault();
     const lasts = this.#between(lasting);
@@ -264,7 +154,7 @@
     this.#faults += 1;
     const running = begin(lasts)
       .catch((error: unknown) => {
-        this.#violate(`fault at ${part} failed: ${String(error)}`);
+        this.#checks.violate(`fault at ${part} failed: ${String(error)}`);
       })
       .finally(() => this.#busy.delete(part));
     this.#busy.set(part, running);
@@ -277,12 +167,13 @@
       this.#backends.filter(({ isLeaving }) => !isLeaving),
     );
     const again = this.#between(restart);
-    const count = 1 + Math.floor(this.#random() * 6);
-    const behaviour = oneOf(this.#random, behaviours);
+    const series = SpoiledSeries.draw(this.#random);
     const rule = oneOf(this.#random, ['cut', 'drop'] as const);
     const mode = oneOf(this.#random, ['busy', 'silent', 'losesAnswers'] as const);
     const { router } = node;
     const server = backend.server.id;
+    const answers = `answers of ${server}`;
+    const spoil = (lasts: Milliseconds): Promise<void> => this.#spoil(backend, series, lasts);
     return oneOf(this.#random, [
       [router.name, (lasts) => this.#end(node, lasts, again, () => router.kill())],
       [router.name, (lasts) => this.#end(node, lasts, again, () => router.stop())],
@@ -299,7 +190,11 @@
       ['store', (lasts) => this.#disturbStore(mode, lasts)],
       ['history', () => this.#forgetHistory()],
       ['desired state', () => this.#changeState()],
-      [server, () => this.#spoil(backend, behaviour, count)],
+      // Several times, since there are as many ways to spoil an answer as all other faults together, and more.
+      [answers, spoil],
+      [answers, spoil],
+      [answers, spoil],
+      [answers, spoil],
       [server, (lasts) => this.#cutServer(backend, rule, lasts)],
       [server, () => this.#replace(backend)],
     ] satisfies readonly (readonly [string, (lasts: Milliseconds) => Promise<void>])[]);
@@ -375,14 +270,15 @@
       if (node.disturbedUntil >= since || this.#version !== version) continue;
       this.#versionChecks += 1;
       if (status === 404)
-        this.#violate(`desired state ${version} is not in force at ${router.name}`);
+        this.#checks.violate(`desired state ${version} is not in force at ${router.name}`);
     }
   }
 
-  #spoil({ server }: Backend, behaviour: Behaviour, count: number): Promise<void> {
-    this.#tell(`${server.id}: ${textOf(behaviour)}, ${count} times`);
-    server.behaviours.push(...Array.from({ length: count }, () => behaviour));
-    return Promise.resolve();
+  async #spoil({ server }: Backend, series: SpoiledSeries, lasts: Milliseconds): Promise<void> {
+    this.#tell(`${server.id}: ${series.text}`);
+    series.begin(server);
+    if (series.hasPace) await pause(lasts);
+    series.endPace(server);
   }
 
   async #cutServer({ relay, server }: Backend, rule: 'cut' | 'drop', lasts: number): Promise<void> {
@@ -417,6 +313,8 @@
     for (const { relay, server } of this.#backends) {
       relay.rule('pass');
       server.behaviours = [];
+      // Bytes that are still to come would spoil answers after the faults have ended.
+      server.dropConnections();
     }
     for (const { router } of this.#nodes) if (!router.isRunning) router.start();
     await Promise.all(this.#nodes.map(({ router }) => router.ready()));
@@ -438,57 +336,25 @@
 
   /** With nothing else wrong some routers are stopped in turn; no request may be lost by it. */
   async #calmStops(): Promise<void> {
-    const random = randomFrom(this.options.seed);
     for (const node of this.#nodes.slice(0, 3)) {
       this.#disturb(node, grace + settled);
-      let isStopped = false;
-      const lost: string[] = [];
-      const send = async (index: number): Promise<void> => {
-        const agent = new Agent({ keepAlive: true, maxSockets: 1 });
-        for (let sent = 0; !isStopped; sent += 1) {
-          const kind = oneOf(random, kinds);
-          const id = `calm-${kind}-${node.router.name}-${index}-${sent}`;
-          const result = await this.#send(node, kind, id, agent);
-          // A closed connection is a loss only if a server had got the request.
-          const hasRun = this.#backends.some(({ server }) => server.ran.includes(id));
-          if (hasRun && (result.status !== 200 || !result.isWhole)) lost.push(id);
-        }
-        agent.destroy();
-      };
-      const sending = Array.from({ length: 6 }, (_, index) => send(index));
+      const stopped = new AbortController();
+      const sending = Array.from({ length: 6 }, (_, index) =>
+        this.#callers.runAt(node, String(index), stopped.signal),
+      );
       await pause(300);
       const code = await node.router.stop();
-      isStopped = true;
-      await Promise.all(sending);
-      if (code !== 0) this.#violate(`${node.router.name} ended with ${String(code)} after SIGTERM`);
+      stopped.abort();
+      const lost = (await Promise.all(sending)).flat();
+      if (code !== 0)
+        this.#checks.violate(`${node.router.name} ended with ${String(code)} after SIGTERM`);
       if (lost.length > 0)
-        this.#violate(`a planned stop of ${node.router.name} cut ${lost.join()}`);
+        this.#checks.violate(`a planned stop of ${node.router.name} cut ${lost.join()}`);
       node.router.start();
       await node.router.ready();
     }
   }
 
-  /** What the servers saw, against what callers were told. */
-  #checkRuns(): void {
-    const runs = new Map<string, number>();
-    for (const { server, drained } of this.#backends) {
-      for (const id of server.ran) runs.set(id, (runs.get(id) ?? 0) + 1);
-      for (const { id, at, headers } of server.seen) {
-        const node = this.#sentTo.get(id);
-        const isBound = node !== undefined && drained?.nodes.has(node) === true;
-        if (isBound && at > drained.at) this.#violate(`${server.id} got ${id} while leaving`);
-        if (headers.authorization !== undefined) this.#violate(`${server.id} got the key of ${id}`);
-        const expected = id.includes('charges') ? undefined : names.team;
-        if (headers.tenant !== expected)
-          this.#violate(`${id} ran for team ${String(headers.tenant)}`);
-      }
-    }
-    for (const [id, count] of runs)
-      if (count > 1 && id.startsWith('charges')) this.#violate(`${id} ran ${count} times`);
-    for (const id of this.#refused)
-      if (runs.has(id)) this.#violate(`${id} ran, though its caller was told that it had not`);
-  }
-
   /** Routers that run and were not disturbed since `time`, nor shortly before. */
   #calmNodes(time: number): readonly Node[] {
     return this.#nodes.filter(
@@ -504,11 +370,6 @@
     this.options.tell(`${Math.round(performance.now())} ${line}`);
   }
 
-  #violate(what: string): void {
-    this.#violations.add(what);
-    this.#tell(`VIOLATION ${what}`);
-  }
-
   #between({ least, most }: { readonly least: number; readonly most: number }): Milliseconds {
     return least + this.#random() * (most - least);
   }
@@ -523,10 +384,3 @@
     await this.store.close();
   }
 }
-
-const expectedEvents = Array.from({ length: streamLength }, (_, index) => index + 1).join();
-
-/** The ids of a stream's events, in their order. */
-function eventsOf(body: string): string {
-  return [...body.matchAll(/^id: (\d+)$/gm)].map(([, id]) => id).join();
-}
