--- a/packages/standins/src/stack/smallVm.ts
+++ b/packages/standins/src/stack/smallVm.ts
@@ -1,5 +1,5 @@
 // A router process on a VM without processor time to spare, and a team whose callers keep to it. The process runs for
-// a part of each period and is stopped for the rest, as by a quota of the processor.
+// a part of each period and is stopped for the rest, as by a quota of the processor. Other routers may idle beside it.
 
 import { createServer, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
@@ -7,7 +7,7 @@
 import type { Milliseconds } from '@catkinwheel/state';
 import { call, type CallResult } from './caller.js';
 import { desiredStateOf, freePorts, modelFields, names } from './fleet.js';
-import { RouterProcess } from './routerProcess.js';
+import { RouterProcess, type Ports } from './routerProcess.js';
 import { StackStore } from './store.js';
 
 /** The process runs for a part of each of these. */
@@ -37,10 +37,13 @@
 /** A router of a small VM, a store and one server. */
 export class SmallVm {
   readonly #pacing = new AbortController();
+  readonly #others: RouterProcess[] = [];
   #sent = 0;
 
   private constructor(
     private readonly router: RouterProcess,
+    private readonly ports: Ports,
+    private readonly folder: string,
     private readonly store: StackStore,
     private readonly server: Server,
     /** When requests reached the server, by id. */
@@ -59,9 +62,10 @@
     await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
     const store = await StackStore.start();
     const [link = 0, callers = 0, ready = 0, control = 0, directory = 0] = await freePorts(5);
+    const ports = { link, callers, ready, control, directory };
     const router = RouterProcess.create('small', {
       ip: '127.0.0.2',
-      ports: { link, callers, ready, control, directory },
+      ports,
       dataCentre: 'suva',
       store: store.address,
       seeds: [],
@@ -69,7 +73,7 @@
       grace: 4_000,
       capacity,
     });
-    const made = new SmallVm(router, store, server, arrivals);
+    const made = new SmallVm(router, ports, folder, store, server, arrivals);
     made.#describe();
     router.start();
     await router.ready();
@@ -77,6 +81,24 @@
     return made;
   }
 
+  /** Starts a router of another VM with a whole core, to which no caller connects. */
+  async addOther(): Promise<void> {
+    const number = this.#others.length + 1;
+    const other = RouterProcess.create(`other-${number}`, {
+      ip: `127.0.0.${number + 2}`,
+      ports: this.ports,
+      dataCentre: 'suva',
+      store: this.store.address,
+      seeds: [`127.0.0.2:${this.ports.control}`],
+      folder: this.folder,
+      grace: 4_000,
+    });
+    this.#others.push(other);
+    other.start();
+    await other.ready();
+    await pause(settleTime);
+  }
+
   /** Leaves the router `share` of its processor from now on. */
   pace(share: number): void {
     void this.#pace(share);
@@ -115,7 +137,7 @@
 
   async close(): Promise<void> {
     this.#pacing.abort();
-    await this.router.kill();
+    await Promise.all([this.router, ...this.#others].map((router) => router.kill()));
     this.server.closeAllConnections();
     await new Promise((resolve) => this.server.close(resolve));
     await this.store.close();
