--- a/packages/coordination/src/routing/fixtures.test.ts
+++ b/packages/coordination/src/routing/fixtures.test.ts
@@ -69,3 +69,9 @@
     outputLimit: 400,
   };
 }
+
+/** Evenly spread numbers from 0 to 1, the same ones in each run. */
+export function randomSequence(): () => number {
+  let state = 0.5;
+  return () => (state = (state + 0.618_033_988_749_895) % 1);
+}
--- /dev/null
+++ b/packages/coordination/src/routing/handover.test.ts
@@ -0,0 +1,68 @@
+// Load pattern: the callers of a team keep to one router and ask for more than its VM can relay.
+
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { randomSequence } from './fixtures.test.js';
+import { handsOver, receiverOf, type Receiver } from './handover.js';
+
+const place = {
+  dataCentre: 'suva',
+  regionOf: { suva: 'viti-levu', nadi: 'viti-levu', labasa: 'vanua-levu' },
+};
+
+function router(name: string, changes: Partial<Receiver> = {}): Receiver {
+  return {
+    name,
+    capacity: 1,
+    used: 0.1,
+    dataCentre: 'suva',
+    isLeaving: false,
+    ...changes,
+  };
+}
+
+test('a router hands connections on only while its VM has little processor time left', () => {
+  assert.equal(handsOver(0.4), false);
+  assert.equal(handsOver(0.98), true);
+});
+
+// Guards against FAIR of issue 21: what saturates one small VM must not saturate the next one, and the next.
+test('connections are shared out by the processor time that routers have to spare', () => {
+  const others = [
+    router('idle', { capacity: 1.35, used: 0.05 }),
+    router('small', { capacity: 0.324, used: 0.05 }),
+    router('busy', { used: 0.7 }),
+  ];
+  const counts = new Map<string, number>();
+  const random = randomSequence();
+  for (let index = 0; index < 1_000; index += 1) {
+    const name = receiverOf(place, others, random)?.name ?? 'none';
+    counts.set(name, (counts.get(name) ?? 0) + 1);
+  }
+  const [idle = 0, small = 0] = [counts.get('idle'), counts.get('small')];
+  assert.equal(idle + small, 1_000);
+  // Spare are 0.76 and 0.14 cores.
+  assert.ok(small > 100 && small < 220, `${small} of 1000 to the small VM`);
+});
+
+test('connections stay in the data centre while it has room, and in the region always', () => {
+  const near = router('near');
+  const far = router('far', { dataCentre: 'nadi' });
+  const abroad = router('abroad', { dataCentre: 'labasa' });
+  const random = (): number => 0.99;
+  assert.equal(receiverOf(place, [far, near, abroad], random), near);
+  assert.equal(receiverOf(place, [far, { ...near, used: 0.9 }, abroad], random)?.name, 'far');
+  assert.equal(receiverOf(place, [abroad], random), undefined);
+});
+
+test('no connection is handed on to a router that leaves, or if all are busy', () => {
+  const others = [router('leaving', { isLeaving: true }), router('busy', { used: 0.9 })];
+  assert.equal(
+    receiverOf(place, others, () => 0),
+    undefined,
+  );
+  assert.equal(
+    receiverOf(place, [], () => 0),
+    undefined,
+  );
+});
--- /dev/null
+++ b/packages/coordination/src/routing/handover.ts
@@ -0,0 +1,54 @@
+// Load pattern: the callers of a team keep to one router, whatever the directory names, and ask for several times what
+// its VM can relay, while the VMs of other routers idle. Fair order among teams is of no use to requests that no router
+// has the time to read. A router without processor time to spare hands the connections of its callers on to others that
+// have some, which read and relay what comes on them.
+
+import type { Entrance } from './entrances.js';
+
+/** A router hands connections on while it uses this part of its VM or more. */
+const handoverPart = 0.75;
+/** Connections are handed on to routers that use less than this part of their VMs, which leaves room for their own callers. */
+const receivingPart = 0.6;
+
+/** A router that connections may be handed on to. */
+export interface Receiver extends Entrance {
+  readonly dataCentre: string;
+  readonly isLeaving: boolean;
+}
+
+/** Where this router is, and where connections may go. */
+export interface HandoverPlace {
+  readonly dataCentre: string;
+  /** Region of each data centre. Bodies stay in the region. */
+  readonly regionOf: Readonly<Record<string, string>>;
+}
+
+/** Whether a router that uses `part` of its VM hands new connections on. */
+export function handsOver(part: number): boolean {
+  return part >= handoverPart;
+}
+
+/**
+ * The router that a new connection is handed on to, drawn by free processor time, so that routers which hand on at the same
+ * time do not all choose the same one. Routers of the own data centre go first, as bytes between data centres are
+ * charged for. Undefined if none has processor time to spare. `random` gives numbers from 0 to 1.
+ */
+export function receiverOf<Each extends Receiver>(
+  place: HandoverPlace,
+  others: readonly Each[],
+  random: () => number,
+): Each | undefined {
+  const region = place.regionOf[place.dataCentre];
+  const able = others.filter((other) => {
+    return !other.isLeaving && place.regionOf[other.dataCentre] === region && spareOf(other) > 0;
+  });
+  const near = able.filter(({ dataCentre }) => dataCentre === place.dataCentre);
+  const choice = near.length > 0 ? near : able;
+  let point = random() * choice.reduce((sum, each) => sum + spareOf(each), 0);
+  return choice.find((each) => (point -= spareOf(each)) < 0);
+}
+
+/** Cores that a router can use for connections of others. */
+function spareOf({ capacity, used }: Entrance): number {
+  return receivingPart * capacity - used;
+}
--- a/packages/coordination/src/routing/index.ts
+++ b/packages/coordination/src/routing/index.ts
@@ -8,6 +8,7 @@
 export * from './entrances.js';
 export * from './groups.js';
 export * from './handedOn.js';
+export * from './handover.js';
 export * from './homes.js';
 export * from './loads.js';
 export * from './members.js';
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -6,6 +6,8 @@
   Members,
   Work,
   entrancesOf,
+  handsOver,
+  receiverOf,
   type DispatcherOptions,
   type WorkTimes,
 } from '@catkinwheel/coordination/routing';
@@ -24,6 +26,7 @@
 import { Registration } from './registration.js';
 import { ServerConnections } from './serverConnections.js';
 import { StoreReader } from './storeReader.js';
+import { Tunnels, type TunnelEnd } from './tunnels.js';
 import { Usage } from './usage.js';
 
 /** How often servers and reports are looked through for what has become too old. */
@@ -40,8 +43,10 @@
 const killMargin: Milliseconds = 700;
 /** Time between two log lines about the load; a router that is saturated stays so for several seconds. */
 const loadInterval: Milliseconds = 2_000;
-/** Port of the metrics on every address of the VM. */
+/** Port of the metrics on every address of the VM, above the first port between routers. */
 const metricsPortOffset = 10;
+/** Port for connections that other routers hand on, counted likewise. */
+const tunnelPortOffset = 1;
 
 /** A running router. */
 export class Gateway {
@@ -55,6 +60,7 @@
   readonly #knowledge: Knowledge;
   readonly #connections = ServerConnections.create();
   readonly #ingress: Ingress;
+  readonly #tunnels: Tunnels;
   readonly #gossip: Gossip;
   readonly #peerState: PeerState;
   readonly #reader: StoreReader;
@@ -131,6 +137,7 @@
         void this.#peerState.fetch(this.#peerAddress(peer));
       },
     });
+    this.#tunnels = Tunnels.create(clock, log);
     this.#ingress = Ingress.create(
       {
         clock,
@@ -144,6 +151,11 @@
         random: Math.random,
       },
       capacity,
+      {
+        tunnels: this.#tunnels,
+        receiver: () => this.#receiver(),
+        isStopping: (ip) => members.alive().some((member) => member.ip === ip && member.isLeaving),
+      },
       () => this.#stopping !== undefined,
     );
   }
@@ -201,7 +213,7 @@
       ...this.#listeners().map(async ([address, app]) => {
         this.#servers.push(await listen(app, address));
       }),
-      this.#ingress.listen(...hostAndPort(settings.listen.callers)),
+      this.#ingress.listen(endOf(settings.listen.callers), this.#tunnelEnd(settings.ip)),
     ]);
     this.#log.write('listening', { callers: settings.listen.callers });
     void this.#reader.run(signal);
@@ -237,6 +249,7 @@
       capacity: this.settings.capacity,
       underWay: this.#ingress.underWay,
       waiting: this.#dispatcher.waiting,
+      tunnels: this.#tunnels.opened,
       span: Math.round(this.#clock.now() - since.at),
       datagrams: Math.round(times.datagrams - since.times.datagrams),
       queue: Math.round(times.queue - since.times.queue),
@@ -303,6 +316,17 @@
     return chosen.length > 0 ? chosen.map((member) => `${member.ip}:${port}`) : [own.callers];
   }
 
+  /** The router that serves new connections instead of this one; undefined while this one has processor time. */
+  #receiver(): TunnelEnd | undefined {
+    if (!handsOver(this.#usage.recentPart())) return undefined;
+    const receiver = receiverOf(this.settings, this.#members.alive(), Math.random);
+    return receiver === undefined ? undefined : this.#tunnelEnd(receiver.ip);
+  }
+
+  #tunnelEnd(ip: string): TunnelEnd {
+    return { host: ip, port: this.settings.linkPort + tunnelPortOffset };
+  }
+
   #isReady(): boolean {
     return this.#stopping === undefined && this.#dispatcher.table !== undefined;
   }
@@ -375,6 +399,11 @@
   });
 }
 
+function endOf(address: string): TunnelEnd {
+  const [host, port] = hostAndPort(address);
+  return { host, port };
+}
+
 function hostAndPort(address: string): readonly [string, number] {
   const separator = address.lastIndexOf(':');
   return [address.slice(0, separator), Number(address.slice(separator + 1))];
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -78,6 +78,8 @@
   readonly number: number;
   /** Requests on the connection until now, this one included. */
   readonly requests: number;
+  /** IP address of the router that has handed the connection on; undefined if the caller connected to this one. */
+  readonly via: string | undefined;
 }
 
 /** Whether the request may have run, over all attempts. */
@@ -525,6 +527,7 @@
       status: this.#caller.status,
       connection: this.connection.number,
       onConnection: this.connection.requests,
+      via: this.connection.via,
       declared: this.#caller.declared,
       handedOn: this.#caller.handedOn,
       route: route?.name,
