Emulator: reports go between routers as in a large fleet, and shares of teams are judged

Emulated routers told one another everything at one moment, each 100 ms. They now send at moments of their own, and beyond sixteen routers sums of data centres go between representatives, by the decisions that the program uses.

--- a/packages/standins/src/experiment/emulator.ts
+++ b/packages/standins/src/experiment/emulator.ts
@@ -12,14 +12,15 @@
 import { Clock, type ManualClock, type Milliseconds } from '@catkinwheel/state';
 import { randomFrom, type Random } from '../random.js';
 import { Engine, type Run, type RunEnd } from './engine.js';
+import { Exchange } from './exchange.js';
 import type { Policy, PolicyMaker } from './policy.js';
 import { arrivalsOf, type Arrival } from './requests.js';
 import type { Event, Kind, Scenario } from '@catkinwheel/platform/site';
 
 const service = 'model';
+/** The clock's time when a day begins. */
+const dayStart: Milliseconds = 1_000_000;
 const second: Milliseconds = 1_000;
-/** Time between two reports of a router, as the program has it in a small fleet. */
-const reportInterval: Milliseconds = 100;
 /** How often a router looks through what waits. */
 const tickInterval: Milliseconds = 10;
 /** One way between a caller and its router, and between routers and servers. */
@@ -38,6 +39,8 @@
   readonly result: 'inAim' | 'late' | 'refused' | 'failed';
   /** Time to the first event from the caller's first attempt; undefined without one. */
   readonly first: Milliseconds | undefined;
+  /** Time of the day at which a server began it; undefined if none did. */
+  readonly begun: Milliseconds | undefined;
 }
 
 /** What a day came to. */
@@ -59,7 +62,7 @@
 
 /** One day under one policy. */
 export class Emulator {
-  readonly #clock: ManualClock = Clock.manual(1_000_000);
+  readonly #clock: ManualClock = Clock.manual(dayStart);
   readonly #random: Random;
   readonly #routers: Router[] = [];
   readonly #engines = new Map<string, Engine>();
@@ -68,6 +71,7 @@
   readonly #served: Served[] = [];
   readonly #errors: Milliseconds[] = [];
   readonly #ended = new AbortController();
+  readonly #exchange = Exchange.create(this.#clock, this.#ended.signal);
   readonly #routes: ReadonlyMap<Kind, Route>;
   readonly #names: readonly string[];
   #lastServer = 0;
@@ -109,7 +113,7 @@
       const dataCentre = scenario.dataCentres[index % scenario.dataCentres.length] ?? '';
       this.#routers.push({ name, dataCentre, isUp: true, policy: this.#policy(name, dataCentre) });
     }
-    void this.#exchange();
+    this.#exchange.start(this.#routers);
     void this.#look();
   }
 
@@ -159,21 +163,6 @@
       if (isUp) policy.applyServers([...this.#servers.values()], false);
   }
 
-  async #exchange(): Promise<void> {
-    while (!this.#ended.signal.aborted) {
-      await this.#clock.sleep(reportInterval, this.#ended.signal);
-      for (const router of this.#routers) {
-        if (!router.isUp) continue;
-        const report = router.policy.report();
-        // What a router tells does not change after it was sent.
-        const copy = { ...report, loads: new Map(report.loads) };
-        for (const other of this.#routers)
-          if (other !== router && other.isUp)
-            other.policy.hear({ kind: 'router', name: router.name }, copy);
-      }
-    }
-  }
-
   async #look(): Promise<void> {
     while (!this.#ended.signal.aborted) {
       await this.#clock.sleep(tickInterval, this.#ended.signal);
@@ -188,13 +177,17 @@
     await clock.sleep(arrival.at, this.#ended.signal);
     let result: Served['result'] = 'failed';
     let first: Milliseconds | undefined;
+    let begun: Milliseconds | undefined;
+    const onBegin = (): void => {
+      begun ??= clock.now() - dayStart;
+    };
     for (let attempt = 0; attempt <= returns; attempt += 1) {
       const router = this.#pick(arrival.pick);
       if (router === undefined) {
         await clock.sleep(reconnect, this.#ended.signal);
         continue;
       }
-      const answer = await this.#attempt(router, arrival);
+      const answer = await this.#attempt(router, arrival, onBegin);
       if (answer.kind === 'answered') {
         first = answer.firstAt - begin;
         const isInAim = first <= arrival.kind.aim && answer.longestPause <= arrival.kind.pause;
@@ -204,7 +197,7 @@
       result = answer.kind;
       if (answer.kind === 'refused') await clock.sleep(answer.retryAfter, this.#ended.signal);
     }
-    this.#served.push({ arrival, result, first });
+    this.#served.push({ arrival, result, first, begun });
   }
 
   #pick(pick: number): Router | undefined {
@@ -212,7 +205,11 @@
     return up[pick % Math.max(1, up.length)];
   }
 
-  async #attempt(router: Router, { kind, team, prompt, output }: Arrival): Promise<Answer> {
+  async #attempt(
+    router: Router,
+    { kind, team, prompt, output }: Arrival,
+    onBegin: () => void,
+  ): Promise<Answer> {
     const clock = this.#clock;
     await clock.sleep(callerWay, this.#ended.signal);
     const route = this.#routes.get(kind);
@@ -243,7 +240,12 @@
         return { kind: 'failed' };
       }
       if (granted.kind === 'refused') return granted;
-      const answer = await this.#send(granted, kind, { prompt, output }, arrived + route.patience);
+      const answer = await this.#send(
+        granted,
+        kind,
+        { prompt, output, onBegin },
+        arrived + route.patience,
+      );
       if (answer.kind === 'answered') return answer;
       avoid.add(granted.server.id);
       if (answer.kind === 'failed' && !kind.canResume) return answer;
@@ -255,7 +257,7 @@
   async #send(
     grant: Grant,
     kind: Kind,
-    asked: Pick<Run, 'prompt' | 'output'>,
+    asked: Pick<Run, 'prompt' | 'output' | 'onBegin'>,
     patienceEnd: Milliseconds,
   ): Promise<Answer> {
     const clock = this.#clock;
@@ -355,6 +357,7 @@
         for (const router of lost) {
           router.policy = this.#policy(router.name, router.dataCentre);
           router.isUp = true;
+          this.#exchange.restart(router);
         }
       }
     }
--- a/packages/standins/src/experiment/engine.ts
+++ b/packages/standins/src/experiment/engine.ts
@@ -18,6 +18,7 @@
   /** Tokens that it will generate. */
   readonly output: number;
   readonly tokensPerEvent: number;
+  readonly onBegin: () => void;
   readonly onEvent: () => void;
   readonly onEnd: (end: RunEnd) => void;
 }
@@ -123,6 +124,7 @@
       const used = this.#running.reduce((sum, { run }) => sum + need(run), 0);
       if (this.#running.length > 0 && used + need(next) > this.timing.memory) return;
       this.#waiting.shift();
+      next.onBegin();
       const unread = this.#missing(next.prompt);
       this.read += unread;
       const firstAt = this.clock.now() + this.timing.first;
--- a/packages/standins/src/experiment/experiment.test.ts
+++ b/packages/standins/src/experiment/experiment.test.ts
@@ -36,7 +36,7 @@
     first = Math.min(first, clock.now() - sent);
   };
   const run = { prompt: prompt(own), output: 30, tokensPerEvent: 3, onEvent };
-  engine.submit({ ...run, onEnd: () => undefined });
+  engine.submit({ ...run, onBegin: () => undefined, onEnd: () => undefined });
   await clock.advance(1_000);
   return first;
 }
@@ -64,7 +64,7 @@
   await firstEvent(engine, clock, 'one');
   const ends: string[] = [];
   const run = { prompt: prompt('two'), output: 1_000, tokensPerEvent: 3, onEvent: () => undefined };
-  engine.submit({ ...run, onEnd: (end) => ends.push(end) });
+  engine.submit({ ...run, onBegin: () => undefined, onEnd: (end) => ends.push(end) });
   await clock.advance(100);
   engine.crash();
   assert.deepEqual(ends, ['lost']);
--- a/packages/standins/src/experiment/policy.ts
+++ b/packages/standins/src/experiment/policy.ts
@@ -2,12 +2,17 @@
 
 import { pathToFileURL } from 'node:url';
 import { resolve } from 'node:path';
-import { Dispatcher, RouteTable, type DispatcherOptions } from '@catkinwheel/coordination/routing';
+import {
+  Dispatcher,
+  RouteTable,
+  type DispatcherOptions,
+  type LoadMap,
+} from '@catkinwheel/coordination/routing';
 
 /** The part of a router's decisions that an experiment drives. */
 export type Policy = Pick<
   Dispatcher,
-  'acquire' | 'apply' | 'applyServers' | 'hear' | 'report' | 'tick'
+  'acquire' | 'apply' | 'applyServers' | 'hear' | 'report' | 'summary' | 'tick'
 >;
 
 /** Makes the decisions of one router. */
@@ -22,6 +27,8 @@
   readonly #inner: Dispatcher;
   readonly #own = new Map<string, number>();
   #elsewhere = new Map<string, ReadonlyMap<string, { readonly requests: number }>>();
+  /** What the routers of its own data centre have told of themselves. */
+  #mates = new Map<string, LoadMap>();
 
   constructor(options: DispatcherOptions) {
     this.#inner = Dispatcher.create(options);
@@ -37,6 +44,8 @@
 
   hear(...[reporter, report]: Parameters<Policy['hear']>): void {
     this.#elsewhere = new Map(this.#elsewhere).set(reporter.name, report.loads);
+    if (reporter.kind === 'router')
+      this.#mates = new Map(this.#mates).set(reporter.name, report.loads);
   }
 
   report(): ReturnType<Policy['report']> {
@@ -47,6 +56,17 @@
     return { loads: new Map(loads), teams: none, waiting: none, least: none, parts: [] };
   }
 
+  summary(): ReturnType<Policy['summary']> {
+    const own = this.report();
+    const requests = new Map([...own.loads].map(([id, load]) => [id, load.requests]));
+    for (const loads of this.#mates.values())
+      for (const [id, load] of loads) requests.set(id, (requests.get(id) ?? 0) + load.requests);
+    const loads = [...requests].map(([id, count]) => {
+      return [id, { unread: 0, requests: count, memory: 0 }] as const;
+    });
+    return { ...own, loads: new Map(loads) };
+  }
+
   tick(): void {
     this.#inner.tick();
   }
