Failing test: a team that keeps to one router is starved beside one that asks all routers

Twenty routers and six engines that are asked for three times what they can do. Each router grants what it sees free at a server, so that a flood that comes in at all routers is granted room many times over before reports tell of it; a team of one router gets room once. No logic of the routing is changed.

--- a/packages/standins/src/experiment/fairness.test.ts
+++ b/packages/standins/src/experiment/fairness.test.ts
@@ -2,9 +2,10 @@
 
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import type { Served } from './emulator.js';
+import { Emulator, type Served } from './emulator.js';
 import { unfairTeams } from './fairness.js';
-import { heavyDays } from './heavyDays.js';
+import { floodBesideKeeper, heavyDays } from './heavyDays.js';
+import { policyMaker } from './policy.js';
 
 const [kind] = heavyDays[0]?.kinds ?? [];
 assert.ok(kind !== undefined);
@@ -30,3 +31,13 @@
   assert.deepEqual([...new Set(found.map(({ team }) => team))], ['starved']);
   assert.deepEqual(unfairTeams([...all, ...requestsOf('half', seconds, 2)], seconds), []);
 });
+
+// Guards against routers that each grant what they see free at a server: a team that asks all of them got many times as
+// much as one whose callers keep to one router.
+test('a team that keeps to one router gets its share of overloaded servers beside one that asks all routers', async () => {
+  const product = await policyMaker('product');
+  for (const seed of [5, 9]) {
+    const { served } = await Emulator.play(floodBesideKeeper, product, seed);
+    assert.deepEqual(unfairTeams(served, floodBesideKeeper.seconds), [], `seed ${seed}`);
+  }
+});
--- a/packages/standins/src/experiment/heavyDays.ts
+++ b/packages/standins/src/experiment/heavyDays.ts
@@ -1,4 +1,5 @@
-// The load patterns of heavy days, one each, on a deployment of eight routers and eight model servers.
+// The load patterns of heavy days, one each, on a deployment of eight routers and eight model servers. One needs a larger
+// fleet, whose routers hear of most others by sums.
 
 import type { Event, Kind, Scenario } from '@catkinwheel/platform/site';
 
@@ -59,6 +60,26 @@
   };
 }
 
+/**
+ * Twenty routers are asked for three times what their servers can do, most of it by a team that asks all of them. The
+ * callers of the second largest team keep to one router.
+ */
+export const floodBesideKeeper: Scenario = {
+  ...day('flood-beside-keeper', [
+    { kind: 'hotTeam', at: 2, lasts: 9, factor: 8, rank: 1 },
+    { kind: 'hotTeam', at: 2, lasts: 9, factor: 5, rank: 2 },
+  ]),
+  seconds: 11,
+  dataCentres: ['suva', 'nadi', 'lautoka', 'labasa', 'levuka'],
+  routers: 20,
+  servers: 6,
+  kinds: [
+    { ...drafts, perSecond: 22.5 },
+    { ...questions, perSecond: 35 },
+  ],
+  teams: { count: 30, skew: 1.2, keepers: [2] },
+};
+
 /** Days that each have one heavy pattern. */
 export const heavyDays: readonly Scenario[] = [
   day('calm', []),
@@ -71,4 +92,5 @@
   day('servers-lost', [{ kind: 'serversLost', at: 8, lasts: 4, share: 0.25 }]),
   day('release', [{ kind: 'release', at: 6, lasts: 1.5, share: 0.5 }]),
   day('routers-lost', [{ kind: 'routersLost', at: 10, lasts: 1.5, share: 1 }]),
+  floodBesideKeeper,
 ];
--- a/packages/standins/src/experiment/requests.ts
+++ b/packages/standins/src/experiment/requests.ts
@@ -82,10 +82,14 @@
   return ranks.map((weight, rank) => ({
     name: `team-${rank + 1}`,
     weight: weight / total,
-    keeps: random() < teams.keepers ? Math.floor(random() * 1_000_000) : undefined,
+    keeps: isKeeper(teams.keepers, rank + 1, random) ? Math.floor(random() * 1_000_000) : undefined,
   }));
 }
 
+function isKeeper(keepers: Scenario['teams']['keepers'], rank: number, random: Random): boolean {
+  return typeof keepers === 'number' ? random() < keepers : keepers.includes(rank);
+}
+
 function activeAt(events: readonly Event[], at: Milliseconds): readonly Event[] {
   return events.filter((event) => {
     return at >= event.at * second && at < (event.at + event.lasts) * second;
