--- a/packages/standins/src/stack/smallVm.test.ts
+++ b/packages/standins/src/stack/smallVm.test.ts
@@ -3,6 +3,7 @@
 
 import assert from 'node:assert/strict';
 import { mkdtempSync, rmSync } from 'node:fs';
+import { Agent } from 'node:http';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { test } from 'node:test';
@@ -45,3 +46,60 @@
     assert.ok(served >= leastPart * capacity, `too little served: ${told}`);
   });
 }
+
+/** Callers that connect at once, and the time between two such bursts. */
+const burst = 80;
+const burstGap = 5_000;
+
+// Guards against FAIR and SHORT at a router that is not saturated (issue 21): connections beyond the short queue of issue 15
+// are dropped and sent again after a second, when their callers have left.
+test('a router that can relay far more serves half of each burst of a team that keeps to it', async (t) => {
+  const folder = mkdtempSync(join(tmpdir(), 'catkinwheel-'));
+  const small = await SmallVm.start(folder, share);
+  t.after(async () => {
+    await small.close();
+    rmSync(folder, { recursive: true });
+  });
+  await small.capacity(steadyCallers, 2_000);
+  small.pace(share);
+  const capacity = await small.capacity(steadyCallers, 4_000);
+  const rate = (burst * 1_000) / burstGap;
+  const result = await small.flood(rate, 3 * burstGap, burstGap);
+  const told = `${JSON.stringify(result)}, capacity ${capacity.toFixed(1)}/s`;
+  t.diagnostic(told);
+  assert.ok(
+    capacity >= 1.5 * rate,
+    `the router has to be able to relay more than is asked: ${told}`,
+  );
+  assert.ok(result.late <= few, `sent on after their callers had left: ${told}`);
+  assert.ok(result.whole >= leastPart * result.sent, `too little served: ${told}`);
+});
+
+/** Callers that keep their connections; together they use up the VM. */
+const keptCallers = 100;
+/** Requests a second on new connections beside them, less than a ninth of what the VM relays. */
+const freshRate = 10;
+
+// Guards against FAIR at a saturated router (issue 21): each turn of the event loop serves all kept connections and accepts one
+// new one, so that callers without a connection wait until they leave.
+test('callers on new connections are served half of what they ask beside kept ones that use up the VM', async (t) => {
+  const folder = mkdtempSync(join(tmpdir(), 'catkinwheel-'));
+  const small = await SmallVm.start(folder, share);
+  const agent = new Agent({ keepAlive: true });
+  t.after(async () => {
+    agent.destroy();
+    await small.close();
+    rmSync(folder, { recursive: true });
+  });
+  await small.capacity(steadyCallers, 2_000);
+  small.pace(share);
+  await small.capacity(keptCallers, 4_000, agent);
+  const [kept, fresh] = await Promise.all([
+    small.capacity(keptCallers, 8_000, agent),
+    small.flood(freshRate, 8_000),
+  ]);
+  const told = `${JSON.stringify(fresh)}, ${kept.toFixed(1)}/s on kept connections`;
+  t.diagnostic(told);
+  assert.ok(kept >= 2 * freshRate, `kept connections have to use up the VM: ${told}`);
+  assert.ok(fresh.whole >= leastPart * fresh.sent, `too little served: ${told}`);
+});
--- a/packages/standins/src/stack/smallVm.ts
+++ b/packages/standins/src/stack/smallVm.ts
@@ -1,7 +1,7 @@
 // A router process on a VM without processor time to spare, and a team whose callers keep to it. The process runs for
 // a part of each period and is stopped for the rest, as by a quota of the processor. Other routers may idle beside it.
 
-import { createServer, type Server, type ServerResponse } from 'node:http';
+import { createServer, type Agent, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { setTimeout as pause } from 'node:timers/promises';
 import type { Milliseconds } from '@catkinwheel/state';
@@ -104,13 +104,16 @@
     void this.#pace(share);
   }
 
-  /** Whole answers a second to `count` callers, each of which asks again when it has its answer. */
-  async capacity(count: number, duration: Milliseconds): Promise<number> {
+  /**
+   * Whole answers a second to `count` callers, each of which asks again when it has its answer; on connections that are
+   * kept if there is an `agent`.
+   */
+  async capacity(count: number, duration: Milliseconds, agent?: Agent): Promise<number> {
     const start = performance.now();
     let whole = 0;
     const caller = async (): Promise<void> => {
       while (performance.now() - start < duration) {
-        const answer = await this.#call(new AbortController().signal);
+        const answer = await this.#call(new AbortController().signal, undefined, undefined, agent);
         whole += Number(answer.isWhole && answer.status === 200);
       }
     };
@@ -118,12 +121,17 @@
     return (1_000 * whole) / (performance.now() - start);
   }
 
-  /** Sends `rate` requests a second, each on a connection of its own, whatever becomes of those before. */
-  async flood(rate: number, duration: Milliseconds): Promise<FloodResult> {
+  /**
+   * Sends `rate` requests a second, each on a connection of its own, whatever becomes of those before: evenly, or those
+   * of each `gap` at once.
+   */
+  async flood(rate: number, duration: Milliseconds, gap: Milliseconds = 0): Promise<FloodResult> {
     const start = performance.now();
     const results: Promise<'whole' | 'refused' | 'left' | 'late' | 'failed'>[] = [];
     while (performance.now() - start < duration) {
-      const due = ((performance.now() - start) * rate) / 1_000;
+      const passed = performance.now() - start;
+      const until = gap > 0 ? (Math.floor(passed / gap) + 1) * gap : passed;
+      const due = (until * rate) / 1_000;
       while (results.length < due) results.push(this.#callOrLeave());
       await pause(1);
     }
@@ -184,7 +192,12 @@
     return answer.status === 200 && answer.isWhole ? 'whole' : 'failed';
   }
 
-  #call(signal: AbortSignal, id = this.#nextId(), onHead?: () => void): Promise<CallResult> {
+  #call(
+    signal: AbortSignal,
+    id = this.#nextId(),
+    onHead?: () => void,
+    agent?: Agent,
+  ): Promise<CallResult> {
     return call({
       address: this.router.callers,
       path: '/letters/1',
@@ -196,6 +209,7 @@
       headers: modelFields,
       signal,
       ...(onHead === undefined ? {} : { onHead }),
+      ...(agent === undefined ? {} : { agent }),
     });
   }
 
