--- a/packages/coordination/src/routing/dispatcher.ts
+++ b/packages/coordination/src/routing/dispatcher.ts
@@ -282,7 +282,7 @@
     if (this.#isFragile(server)) this.#cold.sent(server.id);
     const unreadBefore = this.#load(server.id).unread;
     const flight: Flight = this.#loads.begin(server.id, missing, memory);
-    this.#teams.serve(job.team, job.cost);
+    const charge = this.#teams.serve(job.team, job.cost);
     if (request.prompt !== undefined && service.engine !== undefined)
       this.#parts = [
         ...this.#parts,
@@ -290,6 +290,7 @@
       ];
     const sent = clock.now();
     let isStarted = false;
+    let isOver = false;
     this.#grants.set(job, {
       kind: 'server',
       server,
@@ -308,6 +309,8 @@
       },
       finish: (result) => {
         flight.finish();
+        if (!isOver && !isStarted) charge.withdraw();
+        isOver = true;
         if (result !== undefined) this.#learn(server, service, result);
         this.#admission.pump();
       },
--- a/packages/coordination/src/routing/handover.test.ts
+++ b/packages/coordination/src/routing/handover.test.ts
@@ -57,12 +57,8 @@
 
 test('no connection is handed on to a router that leaves, or if all are busy', () => {
   const others = [router('leaving', { isLeaving: true }), router('busy', { used: 0.9 })];
-  assert.equal(
-    receiverOf(place, others, () => 0),
-    undefined,
-  );
-  assert.equal(
-    receiverOf(place, [], () => 0),
-    undefined,
-  );
+  const random = (): number => 0;
+  const nobody: readonly Receiver[] = [];
+  assert.equal(receiverOf(place, others, random), undefined);
+  assert.equal(receiverOf(place, nobody, random), undefined);
 });
--- a/packages/coordination/src/routing/teamShares.ts
+++ b/packages/coordination/src/routing/teamShares.ts
@@ -17,6 +17,12 @@
   readonly at: Milliseconds;
 }
 
+/** Service that was counted for a team. */
+export interface Charge {
+  /** Takes it back; at most once. */
+  withdraw(): void;
+}
+
 /** Service that teams have received lately from this router, in tokens. */
 export class TeamShares {
   readonly #own = new Map<string, Amount>();
@@ -27,10 +33,15 @@
     return new TeamShares(clock);
   }
 
-  /** Counts service when it is given. */
-  serve(team: string, tokens: number): void {
-    const at = this.clock.now();
-    this.#own.set(team, { tokens: this.received(team) + tokens, at });
+  /** Counts service when a server is granted. What is left of it is taken back if no server begins it. */
+  serve(team: string, tokens: number): Charge {
+    const charged = this.clock.now();
+    this.#add(team, tokens);
+    return {
+      withdraw: () => {
+        this.#add(team, -tokens * this.#kept(charged));
+      },
+    };
   }
 
   /** What this router has given, by team. */
@@ -47,6 +58,15 @@
   received(team: string): number {
     const amount = this.#own.get(team);
     if (amount === undefined) return 0;
-    return amount.tokens * Math.exp((amount.at - this.clock.now()) / memory);
+    return amount.tokens * this.#kept(amount.at);
+  }
+
+  #add(team: string, tokens: number): void {
+    this.#own.set(team, { tokens: this.received(team) + tokens, at: this.clock.now() });
+  }
+
+  /** Part that is not forgotten of service given then. */
+  #kept(at: Milliseconds): number {
+    return Math.exp((at - this.clock.now()) / memory);
   }
 }
