--- a/packages/coordination/src/routing/dispatcher.test.ts
+++ b/packages/coordination/src/routing/dispatcher.test.ts
@@ -229,3 +229,18 @@
   router.hear({ kind: 'router', name: 'r2' }, { ...heard, teams: new Map(), least: new Map() });
   assert.equal((await settled(clock, second))?.kind, 'server');
 });
+
+test('servers count as free until their batches or what they have to read are nearly full', () => {
+  const clock = Clock.manual(1_000);
+  const router = dispatcher(clock);
+  assert.equal(router.freePart(), 1);
+  router.applyServers([server('a'), server('bb'), server('ccc'), server('dddd')], false);
+  assert.equal(router.freePart(), 1);
+  const loads = new Map([
+    ['a', { unread: 0, requests: 60, memory: 0 }],
+    ['bb', { unread: 20_000, requests: 1, memory: 0 }],
+  ]);
+  const heard = { loads, waiting: new Map(), teams: new Map(), least: new Map(), parts: [] };
+  router.hear({ kind: 'router', name: 'r2' }, heard);
+  assert.equal(router.freePart(), 0.5);
+});
--- a/packages/coordination/src/routing/dispatcher.ts
+++ b/packages/coordination/src/routing/dispatcher.ts
@@ -22,6 +22,8 @@
 const backlogPart = 0.15;
 /** Tokens that may wait at a server from which timing is learned. */
 const quietBacklog = 1_000;
+/** Part of its batch below which a server counts as free; a fuller one gives tokens more slowly. */
+const freeBatch = 0.75;
 /** A team gives way to one that waits elsewhere if it has received this many times as much. */
 const aheadFactor = 1.5;
 /** Part of the output limit that an answer has on the average. */
@@ -182,6 +184,16 @@
     return this.#reports.age();
   }
 
+  /**
+   * Part of the servers of models that would begin one more request at once, as far as it is known here; 1 without such
+   * servers.
+   */
+  freePart(): number {
+    const engines = this.engines().filter(({ isLeaving }) => !isLeaving);
+    if (engines.length === 0) return 1;
+    return engines.filter((server) => this.#isFree(server)).length / engines.length;
+  }
+
   /** Servers that keep prompt parts. */
   engines(): readonly KnownServer[] {
     return this.servers.all().filter(({ id }) => this.#memoryOf(id) > 0);
@@ -375,6 +387,13 @@
     return candidates;
   }
 
+  #isFree({ id, service, slots }: KnownServer): boolean {
+    if (!this.standings.isUsable(id)) return false;
+    const { unread, requests } = sum(this.#load(id), this.#reports.waiting(id));
+    const model = this.#engine(service);
+    return requests < slots * freeBatch && model.reading(unread) < model.base;
+  }
+
   /** What the whole fleet has under way at the server, as far as it is known here. */
   #load(server: string): Load {
     return sum(this.#loads.at(server), this.#reports.load(server));
--- a/packages/coordination/src/routing/handover.ts
+++ b/packages/coordination/src/routing/handover.ts
@@ -3,7 +3,7 @@
 // has the time to read. A router without processor time to spare hands the connections of its callers on to others that
 // have some, which read and relay what comes on them.
 
-import type { Entrance } from './entrances.js';
+import { entrancesOf, type Entrance } from './entrances.js';
 
 /** A router hands connections on while it uses this part of its VM or more. */
 const handoverPart = 0.75;
@@ -23,15 +23,22 @@
   readonly regionOf: Readonly<Record<string, string>>;
 }
 
-/** Whether a router that uses `part` of its VM hands new connections on. */
-export function handsOver(part: number): boolean {
-  return part >= handoverPart;
+/**
+ * Part of the servers that have to be free. A flood that no server has room for would only make the requests of others late;
+ * it is held back where it arrives.
+ */
+const freeServers = 0.25;
+
+/** Whether a router that uses `part` of its VM hands new connections on, `free` being the part of servers that have room. */
+export function handsOver(part: number, free: number): boolean {
+  return part >= handoverPart && free >= freeServers;
 }
 
 /**
- * The router that a new connection is handed on to, drawn by free processor time, so that routers which hand on at the same
- * time do not all choose the same one. Routers of the own data centre go first, as bytes between data centres are
- * charged for. Undefined if none has processor time to spare. `random` gives numbers from 0 to 1.
+ * The router that a new connection is handed on to: one of those to which callers are sent, drawn by free processor time, so
+ * that routers which hand on at the same time do not all choose the same one. More routers would each fill the room that
+ * they see at a server before they hear of one another. Undefined if none has processor time to spare.
+ * `random` gives numbers from 0 to 1.
  */
 export function receiverOf<Each extends Receiver>(
   place: HandoverPlace,
@@ -40,10 +47,9 @@
 ): Each | undefined {
   const region = place.regionOf[place.dataCentre];
   const able = others.filter((other) => {
-    return !other.isLeaving && place.regionOf[other.dataCentre] === region && spareOf(other) > 0;
+    return !other.isLeaving && place.regionOf[other.dataCentre] === region;
   });
-  const near = able.filter(({ dataCentre }) => dataCentre === place.dataCentre);
-  const choice = near.length > 0 ? near : able;
+  const choice = entrancesOf(able).filter((each) => spareOf(each) > 0);
   let point = random() * choice.reduce((sum, each) => sum + spareOf(each), 0);
   return choice.find((each) => (point -= spareOf(each)) < 0);
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -70,6 +70,8 @@
   readonly #lag: Lag;
   readonly #work: Work;
   #stopping: Milliseconds | undefined;
+  /** Whether new connections are handed on. */
+  #handsOver = false;
   /** Times that the last line about the load told. */
   #toldWork: { readonly at: Milliseconds; readonly times: WorkTimes };
 
@@ -318,11 +320,24 @@
 
   /** The router that serves new connections instead of this one; undefined while this one has processor time. */
   #receiver(): TunnelEnd | undefined {
-    if (!handsOver(this.#usage.recentPart())) return undefined;
+    if (!this.#handsOver) return undefined;
     const receiver = receiverOf(this.settings, this.#members.alive(), Math.random);
     return receiver === undefined ? undefined : this.#tunnelEnd(receiver.ip);
   }
 
+  #decideHandover(): void {
+    const used = this.#usage.recentPart();
+    // Which servers are free matters only to a router that lacks processor time.
+    const handsOn = handsOver(used, 1) && handsOver(used, this.#dispatcher.freePart());
+    if (handsOn === this.#handsOver) return;
+    this.#handsOver = handsOn;
+    this.#log.write(handsOn ? 'handing connections on' : 'keeping connections', {
+      used: Number(used.toFixed(2)),
+      free: Number(this.#dispatcher.freePart().toFixed(2)),
+      tunnels: this.#tunnels.opened,
+    });
+  }
+
   #tunnelEnd(ip: string): TunnelEnd {
     return { host: ip, port: this.settings.linkPort + tunnelPortOffset };
   }
@@ -357,6 +372,7 @@
   async #tick(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       this.#dispatcher.tick();
+      this.#decideHandover();
       const isWaiting = this.#dispatcher.waiting > 0;
       await this.#lag.sleep(isWaiting ? waitingInterval : tickInterval, signal);
     }
