--- a/packages/coordination/src/routing/dispatcher.ts
+++ b/packages/coordination/src/routing/dispatcher.ts
@@ -189,7 +189,9 @@
    * servers.
    */
   freePart(): number {
-    const engines = this.engines().filter(({ isLeaving }) => !isLeaving);
+    const engines = this.engines().filter(({ isLeaving, dataCentre }) => {
+      return !isLeaving && !this.#evacuated.has(dataCentre);
+    });
     if (engines.length === 0) return 1;
     return engines.filter((server) => this.#isFree(server)).length / engines.length;
   }
--- a/packages/coordination/src/routing/handover.test.ts
+++ b/packages/coordination/src/routing/handover.test.ts
@@ -22,13 +22,17 @@
 }
 
 test('a router hands connections on only while its VM has little processor time left', () => {
-  assert.equal(handsOver(0.4, 1), false);
-  assert.equal(handsOver(0.98, 1), true);
+  assert.equal(handsOver(0.4, 1, false), false);
+  assert.equal(handsOver(0.98, 1, false), true);
+  assert.deepEqual(
+    [handsOver(0.7, 1, false), handsOver(0.7, 1, true), handsOver(0.4, 1, true)],
+    [false, true, false],
+  );
 });
 
 // Guards against a flood that makes the requests of all teams late, since no server has room for it.
 test('a flood is held back where it arrives while servers have no room', () => {
-  assert.equal(handsOver(0.98, 0.1), false);
+  assert.equal(handsOver(0.98, 0.1, true), false);
 });
 
 // Guards against FAIR of issue 21: what saturates one small VM must not saturate the next one, and the next.
--- a/packages/coordination/src/routing/handover.ts
+++ b/packages/coordination/src/routing/handover.ts
@@ -7,6 +7,8 @@
 
 /** A router hands connections on while it uses this part of its VM or more. */
 const handoverPart = 0.75;
+/** It goes on until it uses less than this; handing on lowers its use, and would otherwise end at once. */
+const keepingPart = 0.6;
 /** Connections are handed on to routers that use less than this part of their VMs, which leaves room for their own callers. */
 const receivingPart = 0.6;
 
@@ -29,9 +31,12 @@
  */
 const freeServers = 0.25;
 
-/** Whether a router that uses `part` of its VM hands new connections on, `free` being the part of servers that have room. */
-export function handsOver(part: number, free: number): boolean {
-  return part >= handoverPart && free >= freeServers;
+/**
+ * Whether a router that uses `part` of its VM hands new connections on, `free` being the part of servers that have room and
+ * `isActive` whether it does so already.
+ */
+export function handsOver(part: number, free: number, isActive: boolean): boolean {
+  return part >= (isActive ? keepingPart : handoverPart) && free >= freeServers;
 }
 
 /**
--- a/packages/coordination/src/routing/members.ts
+++ b/packages/coordination/src/routing/members.ts
@@ -104,6 +104,14 @@
       .map(({ member }) => member);
   }
 
+  /** IP addresses of the routers that were heard within the last `span`. */
+  heardWithin(span: Milliseconds): readonly string[] {
+    const oldest = this.clock.now() - span;
+    return [...this.#seen.values()]
+      .filter(({ heard }) => heard >= oldest)
+      .map(({ member }) => member.ip);
+  }
+
   /** Routers that may be running and were not heard lately; the data centre if it is known. */
   silent(): readonly Silent[] {
     const oldest = this.clock.now() - silenceLimit;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -45,6 +45,8 @@
 const loadInterval: Milliseconds = 2_000;
 /** Port of the metrics on every address of the VM, above the first port between routers. */
 const metricsPortOffset = 10;
+/** A router that was not heard for so long is frozen, cut off or gone; callers leave a silent stream by then. */
+const lostTime: Milliseconds = 4_000;
 /** Port for connections that other routers hand on, counted likewise. */
 const tunnelPortOffset = 1;
 
@@ -155,6 +157,7 @@
       capacity,
       {
         tunnels: this.#tunnels,
+        isActive: () => this.#handsOver,
         receiver: () => this.#receiver(),
         isStopping: (ip) => members.alive().some((member) => member.ip === ip && member.isLeaving),
       },
@@ -328,7 +331,9 @@
   #decideHandover(): void {
     const used = this.#usage.recentPart();
     // Which servers are free matters only to a router that lacks processor time.
-    const handsOn = handsOver(used, 1) && handsOver(used, this.#dispatcher.freePart());
+    const isActive = this.#handsOver;
+    const handsOn =
+      handsOver(used, 1, isActive) && handsOver(used, this.#dispatcher.freePart(), isActive);
     if (handsOn === this.#handsOver) return;
     this.#handsOver = handsOn;
     this.#log.write(handsOn ? 'handing connections on' : 'keeping connections', {
@@ -338,6 +343,12 @@
     });
   }
 
+  #dropTunnels(): void {
+    if (this.#tunnels.isEmpty) return;
+    const heard = new Set([this.settings.ip, ...this.#members.heardWithin(lostTime)]);
+    this.#tunnels.drop((host) => !heard.has(host));
+  }
+
   #tunnelEnd(ip: string): TunnelEnd {
     return { host: ip, port: this.settings.linkPort + tunnelPortOffset };
   }
@@ -373,6 +384,7 @@
     while (!signal.aborted) {
       this.#dispatcher.tick();
       this.#decideHandover();
+      this.#dropTunnels();
       const isWaiting = this.#dispatcher.waiting > 0;
       await this.#lag.sleep(isWaiting ? waitingInterval : tickInterval, signal);
     }
--- a/packages/gateway/src/ingress.ts
+++ b/packages/gateway/src/ingress.ts
@@ -24,6 +24,8 @@
 /** What becomes of connections that this router has no processor time for. */
 export interface Handover {
   readonly tunnels: Tunnels;
+  /** Whether new connections are to be served by other routers. */
+  readonly isActive: () => boolean;
   /** The router that serves a new connection; undefined if this one does. */
   readonly receiver: () => TunnelEnd | undefined;
   /** Whether the router with this address, which has handed a connection on, is about to stop. */
@@ -84,8 +86,9 @@
   /** Listens for callers at `callers`, and for connections that other routers hand on at `own`. Rejects if one is not free. */
   async listen(callers: TunnelEnd, own: TunnelEnd): Promise<void> {
     this.#own = own;
-    await listen(this.#server, own);
-    await listen(this.#listener, callers, acceptBacklog(this.capacity));
+    const backlog = acceptBacklog(this.capacity);
+    await listen(this.#server, own, backlog);
+    await listen(this.#listener, callers, backlog);
   }
 
   /** Puts the limits of the desired state in force for connections that are used from now on. */
@@ -130,7 +133,7 @@
   /** Whether the caller is to open a new connection for its next request. */
   #closes(socket: Socket): boolean {
     if (this.isStopping()) return true;
-    if (this.#direct.has(socket)) return this.handover.receiver() !== undefined;
+    if (this.#direct.has(socket)) return this.handover.isActive();
     return this.handover.isStopping(socket.remoteAddress ?? '');
   }
 
@@ -179,10 +182,10 @@
   }
 }
 
-function listen(server: Listener, { host, port }: TunnelEnd, backlog?: number): Promise<void> {
+function listen(server: Listener, { host, port }: TunnelEnd, backlog: number): Promise<void> {
   return new Promise((resolve, reject) => {
     server.once('error', reject);
-    server.listen({ host, port, ...(backlog === undefined ? {} : { backlog }) }, () => {
+    server.listen({ host, port, backlog }, () => {
       server.off('error', reject);
       resolve();
     });
--- a/packages/gateway/src/tunnels.test.ts
+++ b/packages/gateway/src/tunnels.test.ts
@@ -4,6 +4,7 @@
 import { once } from 'node:events';
 import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net';
 import { test, type TestContext } from 'node:test';
+import { setTimeout as pause } from 'node:timers/promises';
 import { Clock } from '@catkinwheel/state';
 import { Log } from './log.js';
 import { Tunnels, type TunnelEnd } from './tunnels.js';
@@ -33,9 +34,8 @@
 async function tunnelled(
   t: TestContext,
   end: TunnelEnd,
-  fallback = end,
+  { fallback = end, clock = Clock.system() }: { fallback?: TunnelEnd; clock?: Clock } = {},
 ): Promise<{ readonly caller: Socket; readonly tunnels: Tunnels }> {
-  const clock = Clock.system();
   const tunnels = Tunnels.create(clock, Log.create(clock, 'router', 'boot'));
   const entrance = await listen(t, (socket) => {
     void tunnels.join(socket, end, fallback);
@@ -49,6 +49,15 @@
   return { caller, tunnels };
 }
 
+/** Waits until there is a value. */
+async function until<Value>(find: () => Value | undefined): Promise<Value> {
+  for (;;) {
+    const found = find();
+    if (found !== undefined) return found;
+    await pause(5);
+  }
+}
+
 async function bytesUntilEnd(socket: Socket): Promise<string> {
   const chunks: Buffer[] = [];
   for await (const chunk of socket) chunks.push(chunk as Buffer);
@@ -72,7 +81,7 @@
   const end = endOf(gone);
   gone.close();
   const own = await listen(t, (socket) => socket.end('served here'));
-  const { caller } = await tunnelled(t, end, endOf(own));
+  const { caller } = await tunnelled(t, end, { fallback: endOf(own) });
   assert.equal(await bytesUntilEnd(caller), 'served here');
 });
 
@@ -99,14 +108,32 @@
   await assert.rejects(bytesUntilEnd(caller), /ECONNRESET/);
 });
 
-// Guards against LOST: a router that stops waits for what others serve on its connections.
-test('a tunnel counts as busy while bytes pass', async (t) => {
+// Guards against LOST: a router that stops waits for what others serve on its connections, however long they are silent.
+test('a tunnel counts as busy while an answer is due or goes on', async (t) => {
+  const clock = Clock.manual(1_000);
+  const sockets: Socket[] = [];
+  const other = await listen(t, (socket) => sockets.push(socket));
+  const { caller, tunnels } = await tunnelled(t, endOf(other), { clock });
+  caller.write('request');
+  await once(await until(() => sockets[0]), 'data');
+  await clock.advance(60_000);
+  assert.equal(tunnels.busy, 1, 'the request waits');
+  sockets[0]?.write('answer');
+  await once(caller, 'data');
+  assert.equal(tunnels.busy, 1, 'the answer may go on');
+  await clock.advance(60_000);
+  assert.equal(tunnels.busy, 0, 'the answer has ended');
+});
+
+// Guards against callers that wait for a router which is frozen or cut off.
+test('the tunnels of a router that is lost are reset', async (t) => {
   const other = await listen(t, (socket) => socket.pipe(socket));
   const { caller, tunnels } = await tunnelled(t, endOf(other));
   caller.write('request');
   await once(caller, 'data');
+  tunnels.drop((host) => host !== endOf(other).host);
   assert.equal(tunnels.busy, 1);
-  caller.end();
-  await once(caller, 'close');
-  assert.equal(tunnels.busy, 0);
+  const lost = assert.rejects(bytesUntilEnd(caller), /ECONNRESET/);
+  tunnels.drop((host) => host === endOf(other).host);
+  await lost;
 });
--- a/packages/gateway/src/tunnels.ts
+++ b/packages/gateway/src/tunnels.ts
@@ -7,8 +7,8 @@
 
 /** A router that has not taken a connection by then is gone, frozen or cut off; a way within a region takes some ms. */
 const openTime: Milliseconds = 200;
-/** A tunnel without a byte for so long carries no request: callers have left by then, or have been refused. */
-const quietTime: Milliseconds = 4_000;
+/** A stream may pause for so long between events; callers leave then. */
+const longestPause: Milliseconds = 4_000;
 
 /** An address that takes connections of other routers' callers. */
 export interface TunnelEnd {
@@ -16,10 +16,19 @@
   readonly port: number;
 }
 
+interface Tunnel {
+  /** Address of the router at the far end; undefined until it is reached. */
+  readonly host: string | undefined;
+  /** When a byte was last seen. */
+  readonly last: Milliseconds;
+  /** Whether that byte came from the caller, who waits for an answer. */
+  readonly isAsked: boolean;
+}
+
 /** The tunnels of one router. */
 export class Tunnels {
-  /** Callers' connections, and when a byte was last seen on each. */
-  readonly #open = new Map<Socket, Milliseconds>();
+  /** By the caller's connection. */
+  readonly #open = new Map<Socket, Tunnel>();
   #opened = 0;
 
   private constructor(
@@ -36,10 +45,24 @@
     return this.#opened;
   }
 
-  /** Tunnels that may carry a request. */
+  /** Whether no tunnel is open. */
+  get isEmpty(): boolean {
+    return this.#open.size === 0;
+  }
+
+  /** Tunnels on which an answer is due or may go on. */
   get busy(): number {
-    const oldest = this.clock.now() - quietTime;
-    return [...this.#open.values()].filter((last) => last >= oldest).length;
+    const oldest = this.clock.now() - longestPause;
+    return [...this.#open.values()].filter(({ last, isAsked }) => isAsked || last >= oldest).length;
+  }
+
+  /** Resets tunnels to routers that are gone, frozen or cut off, whose callers would wait for nothing. */
+  drop(isLost: (host: string) => boolean): void {
+    for (const [caller, { host }] of this.#open) {
+      if (host === undefined || !isLost(host)) continue;
+      this.log.write('tunnel lost', { ip: host, detail: 'the router is silent' });
+      caller.resetAndDestroy();
+    }
   }
 
   /**
@@ -51,7 +74,7 @@
       this.log.write('tunnelled caller lost', { detail: error.message });
     });
     this.#opened += 1;
-    this.#open.set(caller, this.clock.now());
+    this.#open.set(caller, { host: undefined, last: this.clock.now(), isAsked: true });
     caller.once('close', () => this.#open.delete(caller));
     const far = (await this.#connect(end)) ?? (await this.#connect(fallback));
     if (far === undefined || caller.destroyed) {
@@ -94,11 +117,12 @@
   }
 
   #pipe(caller: Socket, far: Socket): void {
-    const note = (): void => {
-      this.#open.set(caller, this.clock.now());
+    const host = far.remoteAddress;
+    const note = (isAsked: boolean) => (): void => {
+      if (this.#open.has(caller)) this.#open.set(caller, { host, last: this.clock.now(), isAsked });
     };
-    caller.on('data', note);
-    far.on('data', note);
+    caller.on('data', note(true));
+    far.on('data', note(false));
     caller.pipe(far);
     far.pipe(caller);
     far.on('error', (error) => {
