--- a/packages/coordination/src/routing/admission.ts
+++ b/packages/coordination/src/routing/admission.ts
@@ -131,7 +131,7 @@
 
   /** Finds a server for the job, now or when it has room. Resolves without one if `signal` aborts. */
   admit(job: Job, signal: AbortSignal): Promise<Admitted> {
-    // An aborted signal tells nobody any more.
+    // A signal that has aborted already calls no listener.
     if (signal.aborted) return Promise.resolve(refusal('deadline', 0));
     return new Promise((resolve) => {
       const settle = (admitted: Admitted): void => {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -9,6 +9,7 @@
   handsOver,
   receiverOf,
   type DispatcherOptions,
+  type Member,
   type WorkTimes,
 } from '@catkinwheel/coordination/routing';
 import { Store, directorySize, encodeDirectory, paths, type Settings } from '@catkinwheel/platform';
@@ -324,21 +325,27 @@
   /** The router that serves new connections instead of this one; undefined while this one has processor time. */
   #receiver(): TunnelEnd | undefined {
     if (!this.#handsOver) return undefined;
-    const receiver = receiverOf(this.settings, this.#members.alive(), Math.random);
+    const receiver = this.#anyReceiver();
     return receiver === undefined ? undefined : this.#tunnelEnd(receiver.ip);
   }
 
+  #anyReceiver(): Member | undefined {
+    return receiverOf(this.settings, this.#members.alive(), Math.random);
+  }
+
   #decideHandover(): void {
     const used = this.#usage.recentPart();
-    // Which servers are free matters only to a router that lacks processor time.
     const isActive = this.#handsOver;
-    const handsOn =
-      handsOver(used, 1, isActive) && handsOver(used, this.#dispatcher.freePart(), isActive);
-    if (handsOn === this.#handsOver) return;
+    // A router that has processor time does not look at servers and routers at each tick.
+    const lacksTime = handsOver(used, 1, isActive);
+    if (!lacksTime && !isActive) return;
+    const free = this.#dispatcher.freePart();
+    const handsOn = handsOver(used, free, isActive) && this.#anyReceiver() !== undefined;
+    if (handsOn === isActive) return;
     this.#handsOver = handsOn;
     this.#log.write(handsOn ? 'handing connections on' : 'keeping connections', {
       used: Number(used.toFixed(2)),
-      free: Number(this.#dispatcher.freePart().toFixed(2)),
+      free: Number(free.toFixed(2)),
       tunnels: this.#tunnels.opened,
     });
   }
--- a/packages/standins/src/stack/smallVm.test.ts
+++ b/packages/standins/src/stack/smallVm.test.ts
@@ -2,10 +2,7 @@
 // can relay. Requests that wait to be accepted must not use up the processor after their callers have left.
 
 import assert from 'node:assert/strict';
-import { mkdtempSync, rmSync } from 'node:fs';
 import { Agent } from 'node:http';
-import { tmpdir } from 'node:os';
-import { join } from 'node:path';
 import { test } from 'node:test';
 import { SmallVm } from './smallVm.js';
 
@@ -28,12 +25,7 @@
   // Guards against the congestion collapse of issue 15 (FAIR, SHORT, GONE): a saturated router read only requests whose
   // callers had left, and served none.
   test(`a router that is asked for three times what ${vm} can relay still serves half of what it can`, async (t) => {
-    const folder = mkdtempSync(join(tmpdir(), 'catkinwheel-'));
-    const small = await SmallVm.start(folder, stated);
-    t.after(async () => {
-      await small.close();
-      rmSync(folder, { recursive: true });
-    });
+    const small = await SmallVm.startFor(t, stated);
     await small.capacity(steadyCallers, 2_000);
     small.pace(share);
     const capacity = await small.capacity(steadyCallers, 4_000);
@@ -54,12 +46,7 @@
 // Guards against FAIR and SHORT at a router that is not saturated (issue 21): connections beyond the short queue of issue 15
 // are dropped and sent again after a second, when their callers have left.
 test('a router that can relay far more serves half of each burst of a team that keeps to it', async (t) => {
-  const folder = mkdtempSync(join(tmpdir(), 'catkinwheel-'));
-  const small = await SmallVm.start(folder, share);
-  t.after(async () => {
-    await small.close();
-    rmSync(folder, { recursive: true });
-  });
+  const small = await SmallVm.startFor(t, share);
   await small.capacity(steadyCallers, 2_000);
   small.pace(share);
   const capacity = await small.capacity(steadyCallers, 4_000);
@@ -83,14 +70,11 @@
 // Guards against FAIR at a saturated router (issue 21): each turn of the event loop serves all kept connections and accepts one
 // new one, so that callers without a connection wait until they leave.
 test('callers on new connections are served half of what they ask beside kept ones that use up the VM', async (t) => {
-  const folder = mkdtempSync(join(tmpdir(), 'catkinwheel-'));
-  const small = await SmallVm.start(folder, share);
   const agent = new Agent({ keepAlive: true });
-  t.after(async () => {
+  t.after(() => {
     agent.destroy();
-    await small.close();
-    rmSync(folder, { recursive: true });
   });
+  const small = await SmallVm.startFor(t, share);
   await small.capacity(steadyCallers, 2_000);
   small.pace(share);
   await small.capacity(keptCallers, 4_000, agent);
--- a/packages/standins/src/stack/smallVm.ts
+++ b/packages/standins/src/stack/smallVm.ts
@@ -1,8 +1,12 @@
 // A router process on a VM without processor time to spare, and a team whose callers keep to it. The process runs for
 // a part of each period and is stopped for the rest, as by a quota of the processor. Other routers may idle beside it.
 
+import { mkdtempSync, rmSync } from 'node:fs';
 import { createServer, type Agent, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import type { TestContext } from 'node:test';
 import { setTimeout as pause } from 'node:timers/promises';
 import type { Milliseconds } from '@catkinwheel/state';
 import { call, type CallResult } from './caller.js';
@@ -50,6 +54,17 @@
     private readonly arrivals: ReadonlyMap<string, Milliseconds>,
   ) {}
 
+  /** Starts all of it for a test, at whose end it is closed; `capacity` as in `start`. */
+  static async startFor(t: TestContext, capacity: number): Promise<SmallVm> {
+    const folder = mkdtempSync(join(tmpdir(), 'catkinwheel-'));
+    const small = await SmallVm.start(folder, capacity);
+    t.after(async () => {
+      await small.close();
+      rmSync(folder, { recursive: true });
+    });
+    return small;
+  }
+
   /** Starts all of it. `capacity` is what the platform states for the VM; the router has a whole core until `pace`. */
   static async start(folder: string, capacity: number): Promise<SmallVm> {
     const arrivals = new Map<string, Milliseconds>();
--- a/packages/standins/src/stack/stuckTeam.test.ts
+++ b/packages/standins/src/stack/stuckTeam.test.ts
@@ -2,9 +2,6 @@
 // times what its processor can relay, while the VM of another router idles.
 
 import assert from 'node:assert/strict';
-import { mkdtempSync, rmSync } from 'node:fs';
-import { tmpdir } from 'node:os';
-import { join } from 'node:path';
 import { test } from 'node:test';
 import { SmallVm } from './smallVm.js';
 
@@ -21,12 +18,7 @@
 
 // Guards against FAIR of issue 21: a team got what the one router that its callers keep to could relay, while the fleet idled.
 test('a team whose callers keep to a saturated router gets half of what it asks for while another router idles', async (t) => {
-  const folder = mkdtempSync(join(tmpdir(), 'catkinwheel-'));
-  const small = await SmallVm.start(folder, share);
-  t.after(async () => {
-    await small.close();
-    rmSync(folder, { recursive: true });
-  });
+  const small = await SmallVm.startFor(t, share);
   await small.capacity(steadyCallers, 2_000);
   small.pace(share);
   const capacity = await small.capacity(steadyCallers, 4_000);
