--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -34,6 +34,8 @@
   readonly took: number;
   /** Body bytes that were forwarded to the caller. */
   readonly handedOn: number;
+  /** Whether the server said in its response that it is leaving; omitted if not. */
+  readonly leaving: true | undefined;
   readonly result: string;
 }
 
--- a/packages/gateway/src/requestHandler.ts
+++ b/packages/gateway/src/requestHandler.ts
@@ -16,11 +16,13 @@
 import {
   decodeResponseHead,
   decodeRequestHead,
+  decodeServerNotice,
   encodeServerHeaders,
   headerNames,
   isMisdirected,
   type ResponseHeaders,
   type RequestHead,
+  type ServerNotice,
 } from '@catkinwheel/platform';
 import type { Clock, Milliseconds } from '@catkinwheel/state';
 import {
@@ -314,6 +316,10 @@
     expectBytes(grant.predicted + firstBytesMargin);
     const forwardedBefore = this.#callerResponse.handedOn;
     let first: Milliseconds | undefined;
+    let leaving: true | undefined;
+    const onNotice = ({ isLeaving }: ServerNotice): void => {
+      if (isLeaving) leaving = true;
+    };
     const onProgress = (): void => {
       if (first === undefined) {
         first = clock.now() - sentAt;
@@ -331,7 +337,12 @@
     const onWait = (): void => {
       expectBytes(silenceTimeout);
     };
-    const callbacks = { progress: onProgress, wait: onWait, discard: onDiscard };
+    const callbacks = {
+      notice: onNotice,
+      progress: onProgress,
+      wait: onWait,
+      discard: onDiscard,
+    };
     const attempt = await this.#forwardResponse(options, outgoing, signal, callbacks);
     clearTimeout(silenceTimer);
     const isSilent = attempt.kind === 'ended' && attempt.cause === 'silence';
@@ -345,6 +356,7 @@
       first: round(first),
       took: Math.round(clock.now() - sentAt),
       handedOn: this.#callerResponse.handedOn - forwardedBefore,
+      leaving,
       result: describeOutcome(attempt),
     });
     return attempt;
@@ -356,6 +368,8 @@
     outgoing: Outgoing,
     signal: AbortSignal,
     callbacks: {
+      /** The server said something about itself in the head of a response. */
+      readonly notice: (notice: ServerNotice) => void;
       /** Bytes have arrived and are being forwarded to the caller. */
       readonly progress: () => void;
       /** More bytes are awaited from the server. */
@@ -373,8 +387,11 @@
     const factsOf = (code: number, headers: ResponseHeaders): ResponseFacts =>
       decodeResponseHead(this.#head.id, code, headers);
     // A connection that carries another request's response may stay one response behind, so it is closed, not reused.
-    const isOwnResponse = (code: number, headers: ResponseHeaders): boolean =>
-      !belongsToOtherRequest(factsOf(code, headers));
+    const isOwnResponse = (code: number, headers: ResponseHeaders): boolean => {
+      const notice = decodeServerNotice(code, headers);
+      if (notice !== undefined) callbacks.notice(notice);
+      return !belongsToOtherRequest(factsOf(code, headers));
+    };
     for await (const part of connections.send(id, address, outgoing, signal, isOwnResponse)) {
       switch (part.kind) {
         case 'head': {
