--- a/packages/standins/src/stack/server.ts
+++ b/packages/standins/src/stack/server.ts
@@ -59,6 +59,8 @@
   /** Calls for the list of kept parts. */
   listCalls = 0;
   eventPause = 5;
+  /** Whether its answers say that it is leaving, except those that break off or go on without end. */
+  isLeaving = false;
   /** Time between the parts of an answer that breaks off, so that the router gets the first one by itself. */
   partPause: Milliseconds = 20;
   /** Characters before the text of a plain answer, for answers that a router does not hold until they are whole. */
@@ -129,6 +131,7 @@
       return;
     }
     this.#sendPending(socket);
+    if (this.isLeaving) response.setHeader('server-leaving', '1');
     const chunks: Buffer[] = [];
     for await (const chunk of request as AsyncIterable<Buffer>) chunks.push(chunk);
     const id = String(headers['request-id']);
