routing: a server that says in a response that it leaves gets no more requests

What callers saw: nothing was lost, but servers that had announced that they leave were sent new requests until the store said so, which it may do late, never, or not while it is away.

Cause: routers knew of a departure from the registration only, and each later row replaced what was known, so a late heartbeat could revoke it as well.

Change: Departures keeps the instances (id and start time) that are leaving, from the first response or registration that says so until the instance is replaced. A new instance under the same id is not concerned.

--- a/packages/coordination/src/routing/dispatcher.ts
+++ b/packages/coordination/src/routing/dispatcher.ts
@@ -15,6 +15,7 @@
   type Load,
   type LoadMap,
 } from './loads.js';
+import type { ServerInstance } from './departures.js';
 import type { Prompt, Route, Server, Service, Team } from './model.js';
 import { chooseServer, type Candidate, type Placement, type Timing } from './placement.js';
 import { RetryBudget, type RetryBound } from './retryBudget.js';
@@ -48,6 +49,8 @@
 const maxReportedParts = 12;
 /** Max prompt parts in a data centre's summary, to which some twenty routers contribute. */
 const maxSummaryParts = 60;
+/** Max servers in one report that are leaving by their own word; the rest follows when these are gone. */
+const maxReportedDepartures = 16;
 
 /** A request to be placed on a server. */
 export interface Request {
@@ -162,6 +165,22 @@
     this.#admission.placeQueued();
   }
 
+  /**
+   * Records that a server has said in a response, to this router or to another one, that it is leaving. It gets no further
+   * requests, whatever its registration says. Returns whether that is news.
+   */
+  recordLeaving(instance: ServerInstance): boolean {
+    if (!this.servers.recordLeaving(instance)) return false;
+    this.#prefixHomes.clear();
+    this.#admission.placeQueued();
+    return true;
+  }
+
+  /** Servers that are leaving by their own word, to be reported to other routers. */
+  announcedLeaving(): readonly ServerInstance[] {
+    return this.servers.announcedLeaving().slice(0, maxReportedDepartures);
+  }
+
   /** Sets the data centres that are out of service. Servers of one that returns are treated as cold. */
   evacuate(dataCentres: ReadonlySet<string>): void {
     for (const server of this.servers.all()) {
--- a/packages/coordination/src/routing/index.ts
+++ b/packages/coordination/src/routing/index.ts
@@ -3,6 +3,7 @@
 export * from './admission.js';
 export * from './responseClassification.js';
 export * from './coldStart.js';
+export * from './departures.js';
 export * from './dispatcher.js';
 export * from './engineTiming.js';
 export * from './entryRouters.js';
--- a/packages/coordination/src/routing/serverTable.test.ts
+++ b/packages/coordination/src/routing/serverTable.test.ts
@@ -49,3 +49,43 @@
   await clock.advance(3_000);
   assert.ok(!table.isCold(known));
 });
+
+// Heartbeats may be written late: a row that is read after the news can be older than it.
+test('an instance that is leaving stays so, whatever later registrations of it say', () => {
+  const table = ServerTable.create(Clock.manual());
+  table.update([server('a'), server('b', { isLeaving: true })], false);
+  assert.ok(table.recordLeaving({ id: 'a', born: 1 }));
+  assert.ok(!table.recordLeaving({ id: 'a', born: 1 }));
+  table.update([], true);
+  table.update([server('a'), server('b')], false);
+  assert.deepEqual(
+    table.all().map(({ isLeaving }) => isLeaving),
+    [true, true],
+  );
+  assert.deepEqual(table.announcedLeaving(), [{ id: 'a', born: 1 }]);
+});
+
+test('a new instance under the id of one that is leaving is not', () => {
+  const table = ServerTable.create(Clock.manual());
+  table.update([server('a')], false);
+  table.recordLeaving({ id: 'a', born: 1 });
+  table.update([server('a', { born: 2 })], false);
+  assert.equal(table.get('a')?.isLeaving, false);
+  // A response of the former instance may come after the registration of the new one.
+  assert.ok(!table.recordLeaving({ id: 'a', born: 1 }) && table.get('a')?.isLeaving === false);
+});
+
+// The former instance of an id may have left long ago; memory is bounded.
+test('a departure is forgotten some time after its server was registered last', async () => {
+  const clock = Clock.manual();
+  const table = ServerTable.create(clock);
+  table.update([server('a')], false);
+  table.recordLeaving({ id: 'a', born: 1 });
+  await clock.advance(700_000);
+  table.expire();
+  assert.equal(table.get('a')?.isLeaving, true);
+  table.update([], false);
+  table.expire();
+  table.update([server('a')], false);
+  assert.equal(table.get('a')?.isLeaving, false);
+});
--- a/packages/coordination/src/routing/serverTable.ts
+++ b/packages/coordination/src/routing/serverTable.ts
@@ -3,6 +3,7 @@
 // server is gone.
 
 import type { Clock, Milliseconds } from '@catkinwheel/state';
+import { Departures, type ServerInstance } from './departures.js';
 import type { Server } from './model.js';
 
 /**
@@ -22,11 +23,14 @@
   readonly lapses: Milliseconds | undefined;
 }
 
-/** Servers by id. Changed only by `update`, `markCold` and `expire`. */
+/** Servers by id. Changed only by `update`, `recordLeaving`, `markCold` and `expire`. */
 export class ServerTable {
   #servers: ReadonlyMap<string, KnownServer> = new Map();
+  readonly #departures: Departures;
 
-  private constructor(private readonly clock: Clock) {}
+  private constructor(private readonly clock: Clock) {
+    this.#departures = Departures.create(clock);
+  }
 
   static create(clock: Clock): ServerTable {
     return new ServerTable(clock);
@@ -46,7 +50,9 @@
       if (isRestarted) stale.push(server.id);
       const isChanged = known === undefined || isRestarted || known.coldLeft !== server.coldLeft;
       const coldUntil = isChanged ? now + server.coldLeft : known.coldUntil;
-      next.set(server.id, { ...server, coldUntil, lapses: undefined });
+      if (server.isLeaving) this.#departures.record(server, 'registration');
+      const isLeaving = this.#departures.has(server);
+      next.set(server.id, { ...server, isLeaving, coldUntil, lapses: undefined });
     }
     for (const known of this.#servers.values()) {
       if (next.has(known.id)) continue;
@@ -60,6 +66,20 @@
     return stale;
   }
 
+  /** Records that the instance has said that it is leaving. Returns whether that is news. */
+  recordLeaving(instance: ServerInstance): boolean {
+    if (!this.#departures.record(instance, 'response')) return false;
+    const known = this.#servers.get(instance.id);
+    if (known?.born === instance.born && known !== undefined)
+      this.#servers = new Map(this.#servers).set(known.id, { ...known, isLeaving: true });
+    return true;
+  }
+
+  /** Registered instances that are known to leave from responses, the latest first. */
+  announcedLeaving(): readonly ServerInstance[] {
+    return this.#departures.announced().filter(({ id }) => this.#servers.has(id));
+  }
+
   /** Treats the server as cold for at least `duration`. */
   markCold(id: string, duration: Milliseconds): void {
     const known = this.#servers.get(id);
@@ -71,6 +91,7 @@
   /** Drops servers whose registrations were not renewed in time; returns their ids. */
   expire(): readonly string[] {
     const now = this.clock.now();
+    this.#departures.expire((id) => this.#servers.has(id));
     const expired = [...this.#servers.values()].filter(
       ({ lapses }) => lapses !== undefined && lapses <= now,
     );
--- a/packages/gateway/src/gossip.ts
+++ b/packages/gateway/src/gossip.ts
@@ -18,7 +18,17 @@
   type WorkTimer,
 } from '@catkinwheel/coordination/routing';
 import type { Clock, Milliseconds } from '@catkinwheel/state';
-import { Codec, array, boolean, nullable, number, string, tuple, type GetType } from 'purify-ts';
+import {
+  Codec,
+  array,
+  boolean,
+  nullable,
+  number,
+  optional,
+  string,
+  tuple,
+  type GetType,
+} from 'purify-ts';
 import { tableNames, type StoreReplica } from './storeReplica.js';
 import type { Log } from './log.js';
 
@@ -65,6 +75,8 @@
   least: array(tuple([string, number])),
   /** Server, key and tokens of prompt parts that the server has cached since the last message. */
   parts: array(tuple([string, string, number])),
+  /** Servers that have said that they are leaving, with their start times; routers of earlier versions send none. */
+  leaving: optional(array(tuple([string, nullable(number)]))),
 });
 
 type Message = GetType<typeof messageCodec>;
@@ -231,6 +243,7 @@
       waiting: encodeLoads(report.waiting),
       least: [...report.least].map(([server, tokens]) => [server, Math.round(tokens)]),
       parts: report.parts.map(({ server, part, tokens }) => [server, part, tokens]),
+      leaving: this.options.dispatcher.announcedLeaving().map(({ id, born }) => [id, born ?? null]),
     };
   }
 
@@ -254,7 +267,7 @@
   }
 
   #apply(message: Message, bytes: Buffer, from: string): void {
-    const { dispatcher, storeReplica, onNewerVersions, dataCentre } = this.options;
+    const { dispatcher, storeReplica, onNewerVersions, dataCentre, log } = this.options;
     const { router: name, members: otherMembers, ip } = message;
     const isIdle = message.loads.length === 0 && message.waiting.length === 0;
     this.#recordHeartbeat({ ...message, name, isIdle, storeAge: message.storeAge ?? Infinity }, 0);
@@ -272,6 +285,10 @@
       const state = { capacity, used, isIdle: isPeerIdle, storeAge: storeAge ?? Infinity };
       this.#recordHeartbeat({ ...member, ...state }, age);
     }
+    for (const [server, born] of message.leaving ?? []) {
+      if (dispatcher.recordLeaving({ id: server, born: born ?? undefined }))
+        log.write('server leaving', { server, source: 'peer', peer: name });
+    }
     const reporter: Reporter =
       otherMembers === null
         ? { kind: 'router', name }
--- a/packages/gateway/src/requestHandler.ts
+++ b/packages/gateway/src/requestHandler.ts
@@ -287,7 +287,7 @@
 
   async #runAttempt(options: AttemptOptions): Promise<AttemptOutcome> {
     const { route, grant, body, deadline, mayRetry, answer } = options;
-    const { clock, connections, metrics } = this.dependencies;
+    const { clock, connections, metrics, dispatcher, log } = this.dependencies;
     const { server } = grant;
     const sentAt = clock.now();
     const silenceController = new AbortController();
@@ -318,7 +318,14 @@
     let first: Milliseconds | undefined;
     let leaving: true | undefined;
     const onNotice = ({ isLeaving }: ServerNotice): void => {
-      if (isLeaving) leaving = true;
+      if (!isLeaving) return;
+      leaving = true;
+      if (!dispatcher.recordLeaving(server)) return;
+      log.write('server leaving', {
+        server: server.id,
+        source: 'response',
+        request: this.#head.id,
+      });
     };
     const onProgress = (): void => {
       if (first === undefined) {
--- a/packages/standins/src/stack/serverLeaving.test.ts
+++ b/packages/standins/src/stack/serverLeaving.test.ts
@@ -6,7 +6,7 @@
 import type { HeadBehaviour } from './behaviour.js';
 import { call, type CallResult } from './caller.js';
 import { StackFleet, modelFields, names } from './fleet.js';
-import { StackServer } from './server.js';
+import type { StackServer } from './server.js';
 
 /** `drainTimeoutMs` of the published deployments. */
 const drainTimeout = 2_000;
