routing: a server that refuses with Retry-After gets nothing for that time

What callers saw: nothing was lost, but a server that had answered 503 with Retry-After got further requests after the router's own pause of 250 ms, and callers were told to come back in 0.3 s.

Cause: the header was not read; the pause after a refusal is a constant, which any answered request ends and which is forgotten with the registration.

Change: HoldOffs keeps by instance how long a server wants no requests, to the end of that time. If that holds for all servers of a service and is longer than a request can wait, the request is refused at once with the time that is left.

--- a/packages/coordination/src/routing/admission.ts
+++ b/packages/coordination/src/routing/admission.ts
@@ -218,9 +218,16 @@
         }
         ahead.set(placement.id, sumLoads(ahead.get(placement.id) ?? noLoad, placement.addedLoad));
         return;
-      case 'none':
+      case 'none': {
+        const { availableIn } = placement;
+        if (availableIn !== undefined) {
+          if (now + availableIn > latestFirstEvent(job))
+            this.#settle(queued, { kind: 'refused', reason: 'noServer', retryAfter: availableIn });
+          return;
+        }
         if (now - job.arrived >= (job.targetTime - job.arrived) * noServerWaitFraction)
           this.#settle(queued, refusal('noServer', defaultRetryDelay));
+      }
     }
   }
 
--- a/packages/coordination/src/routing/dispatcher.ts
+++ b/packages/coordination/src/routing/dispatcher.ts
@@ -6,6 +6,7 @@
 import { Admission, type AdmissionResult, type Job, type ServerSnapshot } from './admission.js';
 import { ColdStartLimiter, type ColdRateBound } from './coldStart.js';
 import { EngineTiming } from './engineTiming.js';
+import { HoldOffs } from './holdOffs.js';
 import { PrefixHomes } from './prefixHomes.js';
 import {
   LocalLoads,
@@ -110,6 +111,7 @@
   readonly #reports: Reports;
   readonly #prefixCaches = PrefixCacheIndex.create();
   readonly #coldStart: ColdStartLimiter;
+  readonly #holdOffs: HoldOffs;
   readonly #teamUsage: TeamUsage;
   readonly #admission: Admission;
   readonly #engineTimings = new Map<string, EngineTiming>();
@@ -132,6 +134,7 @@
     this.retryBudget = RetryBudget.create(clock, options.repeats, () => routers().length);
     this.#reports = Reports.create(clock);
     this.#coldStart = ColdStartLimiter.create(clock, options.cold, self, entrances);
+    this.#holdOffs = HoldOffs.create(clock);
     this.#teamUsage = TeamUsage.create(clock);
     this.#admission = Admission.create(clock, options.work, { snapshot: () => this.#snapshot() });
   }
@@ -176,6 +179,14 @@
     return true;
   }
 
+  /**
+   * Records that a server has asked this router for no requests for `duration`. Returns whether it wanted requests until
+   * now.
+   */
+  recordHoldOff(instance: ServerInstance, duration: Milliseconds): boolean {
+    return this.#holdOffs.record(instance, duration);
+  }
+
   /** Servers that are leaving by their own word, to be reported to other routers. */
   announcedLeaving(): readonly ServerInstance[] {
     return this.servers.announcedLeaving().slice(0, maxReportedDepartures);
@@ -216,6 +227,7 @@
   /** Periodic work: drops expired reports and servers, and tries to place queued requests. */
   tick(): void {
     this.#reports.expire();
+    this.#holdOffs.expire();
     for (const id of this.servers.expire()) this.#forget(id);
     this.#admission.placeQueued();
   }
@@ -318,6 +330,7 @@
     const memory = requestMemory(prompt);
     const home = prompt === undefined ? undefined : this.#homesOf(service.name).homeOf(prompt);
     const placement = chooseServer(candidates, timing, home, memory);
+    if (placement.kind === 'none') return { ...placement, ...this.#availability(service.name) };
     if (placement.kind === 'server')
       this.#grant(job, request, service, placement, placement.addedLoad.unread, memory);
     return placement;
@@ -391,17 +404,32 @@
 
   /** Servers of the service that may be sent requests, cold ones included. */
   #usableServers(service: string): readonly KnownServer[] {
+    return this.#stayingServers(service).filter(
+      (server) => this.serverHealth.isUsable(server.id) && this.#holdOffs.remaining(server) === 0,
+    );
+  }
+
+  /** Servers of the service that are neither leaving nor in a data centre out of service. */
+  #stayingServers(service: string): readonly KnownServer[] {
     return this.servers
       .all()
       .filter(
         (server) =>
           server.service === service &&
           !server.isLeaving &&
-          !this.#evacuated.has(server.dataCentre) &&
-          this.serverHealth.isUsable(server.id),
+          !this.#evacuated.has(server.dataCentre),
       );
   }
 
+  /** When a server of the service wants requests again, if none wants any now. */
+  #availability(service: string): { readonly availableIn?: Milliseconds } {
+    const remaining = this.#stayingServers(service).map((server) =>
+      this.#holdOffs.remaining(server),
+    );
+    const availableIn = Math.min(...remaining);
+    return availableIn > 0 && Number.isFinite(availableIn) ? { availableIn } : {};
+  }
+
   #candidates(
     request: Request,
     service: Service,
@@ -431,8 +459,9 @@
     return candidates;
   }
 
-  #isFree({ id, service, slots }: KnownServer): boolean {
-    if (!this.serverHealth.isUsable(id)) return false;
+  #isFree(server: KnownServer): boolean {
+    const { id, service, slots } = server;
+    if (!this.serverHealth.isUsable(id) || this.#holdOffs.remaining(server) > 0) return false;
     const { unread, requests } = sumLoads(this.#fleetLoad(id), this.#reports.waiting(id));
     const engineTiming = this.#engineTiming(service);
     return (
--- /dev/null
+++ b/packages/coordination/src/routing/holdOffs.test.ts
@@ -0,0 +1,26 @@
+// Load pattern: servers that are full refuse with the time after which to come back, while requests in flight at them are
+// still answered and their registrations lapse and return.
+
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Clock } from '@catkinwheel/state';
+import { HoldOffs } from './holdOffs.js';
+
+test('the latest of several times counts, to its end', async () => {
+  const clock = Clock.manual();
+  const holdOffs = HoldOffs.create(clock);
+  assert.ok(holdOffs.record({ id: 'a', born: 1 }, 3_000));
+  await clock.advance(1_000);
+  assert.ok(!holdOffs.record({ id: 'a', born: 1 }, 500));
+  assert.equal(holdOffs.remaining({ id: 'a', born: 1 }), 2_000);
+  await clock.advance(2_000);
+  holdOffs.expire();
+  assert.equal(holdOffs.remaining({ id: 'a', born: 1 }), 0);
+});
+
+// A server that starts again under its id knows nothing of what its former instance asked for.
+test('a new instance under the same id wants requests', () => {
+  const holdOffs = HoldOffs.create(Clock.manual());
+  holdOffs.record({ id: 'a', born: 1 }, 3_000);
+  assert.equal(holdOffs.remaining({ id: 'a', born: 2 }), 0);
+});
--- a/packages/coordination/src/routing/index.ts
+++ b/packages/coordination/src/routing/index.ts
@@ -10,6 +10,7 @@
 export * from './gossipTopology.js';
 export * from './relayProgress.js';
 export * from './connectionHandover.js';
+export * from './holdOffs.js';
 export * from './prefixHomes.js';
 export * from './loads.js';
 export * from './members.js';
--- a/packages/coordination/src/routing/placement.ts
+++ b/packages/coordination/src/routing/placement.ts
@@ -94,7 +94,11 @@
       /** Load that the request adds to the server. */
       readonly addedLoad: Load;
     }
-  | { readonly kind: 'none' };
+  | {
+      readonly kind: 'none';
+      /** Time until the first server wants requests again; undefined unless none wants any now. */
+      readonly availableIn?: Milliseconds;
+    };
 
 /**
  * Chooses the candidate with the best score. `memory` is what the request needs in addition to shared parts,
--- a/packages/gateway/src/requestHandler.ts
+++ b/packages/gateway/src/requestHandler.ts
@@ -317,7 +317,9 @@
     const forwardedBefore = this.#callerResponse.handedOn;
     let first: Milliseconds | undefined;
     let leaving: true | undefined;
-    const onNotice = ({ isLeaving }: ServerNotice): void => {
+    const onNotice = ({ isLeaving, holdOff }: ServerNotice): void => {
+      if (holdOff !== undefined && dispatcher.recordHoldOff(server, holdOff))
+        log.write('server holds off', { server: server.id, for: holdOff, request: this.#head.id });
       if (!isLeaving) return;
       leaving = true;
       if (!dispatcher.recordLeaving(server)) return;
--- a/packages/standins/src/stack/behaviour.ts
+++ b/packages/standins/src/stack/behaviour.ts
@@ -11,6 +11,8 @@
   | 'answersInParts'
   /** 503 with the promise that it has not run. */
   | 'refuses'
+  /** The same, with the time after which it wants requests again. */
+  | 'refusesForTime'
   /** 500 after it ran. */
   | 'errors'
   /** 500 after it ran, without a seal. */
--- a/packages/standins/src/stack/server.ts
+++ b/packages/standins/src/stack/server.ts
@@ -61,6 +61,8 @@
   eventPause = 5;
   /** Whether its answers say that it is leaving, except those that break off or go on without end. */
   isLeaving = false;
+  /** In seconds; for `refusesForTime`. */
+  retryAfter = '1';
   /** Time between the parts of an answer that breaks off, so that the router gets the first one by itself. */
   partPause: Milliseconds = 20;
   /** Characters before the text of a plain answer, for answers that a router does not hold until they are whole. */
@@ -145,7 +147,7 @@
       if (!response.writableFinished) this.left.push(id);
     });
     const behaviour = this.behaviours.shift() ?? 'answers';
-    if (behaviour !== 'refuses') this.ran.push(id);
+    if (behaviour !== 'refuses' && behaviour !== 'refusesForTime') this.ran.push(id);
     const exchange = { content: this.#contentOf(id, request), request, response };
     await this.#answer(behaviour, exchange);
   }
@@ -213,6 +215,11 @@
       case 'refuses':
         response.writeHead(503, { 'not-executed': '1', 'request-id': id }).end();
         return;
+      case 'refusesForTime': {
+        const headers = { 'not-executed': '1', 'request-id': id, 'retry-after': this.retryAfter };
+        response.writeHead(503, headers).end();
+        return;
+      }
       case 'errors':
         this.#give(exchange, 500, signed, failure);
         return;
