--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -6,7 +6,10 @@
 /** Why this router ended an attempt. */
 export type AbortCause = 'callerGone' | 'deadline' | 'silence';
 
-/** How one attempt at a server ended. */
+/**
+ * How one attempt at a server ended. `isDisconnected`: the server ended the connection, or something between did, before
+ * the response was complete.
+ */
 export type AttemptOutcome =
   /** The caller has the complete response. */
   | { readonly kind: 'delivered'; readonly status: number }
@@ -15,9 +18,9 @@
   /** The server promises that the request has not run. */
   | { readonly kind: 'notRun'; readonly status: number }
   /** The request may have run; nothing of the response was forwarded. */
-  | { readonly kind: 'failed'; readonly detail: string }
+  | { readonly kind: 'failed'; readonly detail: string; readonly isDisconnected: boolean }
   /** The response broke off after a part of it was forwarded. */
-  | { readonly kind: 'cut'; readonly detail: string }
+  | { readonly kind: 'cut'; readonly detail: string; readonly isDisconnected: boolean }
   | { readonly kind: 'ended'; readonly cause: AbortCause };
 
 /** The log entry of one attempt. Times in ms. */
--- a/packages/gateway/src/requestHandler.ts
+++ b/packages/gateway/src/requestHandler.ts
@@ -24,7 +24,7 @@
   type RequestHead,
   type ServerNotice,
 } from '@catkinwheel/platform';
-import type { Clock, Milliseconds } from '@catkinwheel/state';
+import { mayHaveRun, type Clock, type Failure, type Milliseconds } from '@catkinwheel/state';
 import {
   describeOutcome,
   serverOutcomeOf,
@@ -121,6 +121,8 @@
   #route: Route | undefined;
   #team: Team | undefined;
   #basis: OverloadBasis | undefined;
+  /** Whether a server ended the connection of an attempt. */
+  #isDisconnected = false;
 
   private constructor(
     private readonly dependencies: RequestDependencies,
@@ -267,6 +269,7 @@
         case 'failed':
         case 'cut':
           verdict = 'mayHaveRun';
+          this.#isDisconnected ||= attempt.isDisconnected;
           break;
       }
       sentCount += 1;
@@ -446,26 +449,29 @@
         }
         case 'end': {
           if (discard !== undefined) return discard;
-          if (run === undefined) return { kind: 'failed', detail: 'no answer' };
+          if (run === undefined) return this.#brokenAttempt('no answer');
           const result = run.end();
           if (result.kind === 'unusable') return this.#brokenAttempt(result.detail);
           this.#recordFirstByte();
           return { kind: 'delivered', status };
         }
         case 'failed':
-          return this.#failedAttempt(part.failure.verdict, part.failure.detail, signal, discard);
+          return this.#failedAttempt(part.failure, signal, discard);
         case 'events':
         case 'alive':
           // Not used: bodies are requested as bytes.
           break;
       }
     }
-    return this.#failedAttempt('mayHaveRun', 'the connection ended', signal, discard);
+    return this.#failedAttempt(
+      mayHaveRun('connectionLost', 'the connection ended'),
+      signal,
+      discard,
+    );
   }
 
   #failedAttempt(
-    verdict: string,
-    detail: string,
+    { verdict, reason, detail }: Failure,
     signal: AbortSignal,
     discard: AttemptOutcome | undefined,
   ): AttemptOutcome {
@@ -475,11 +481,11 @@
       return { kind: 'ended', cause };
     }
     if (verdict === 'notRun') return { kind: 'unsent', detail };
-    return this.#brokenAttempt(detail);
+    return this.#brokenAttempt(detail, reason === 'connectionLost');
   }
 
-  #brokenAttempt(detail: string): AttemptOutcome {
-    return { kind: this.#callerResponse.isOpen ? 'cut' : 'failed', detail };
+  #brokenAttempt(detail: string, isDisconnected = false): AttemptOutcome {
+    return { kind: this.#callerResponse.isOpen ? 'cut' : 'failed', detail, isDisconnected };
   }
 
   #recordFirstByte(): void {
@@ -577,6 +583,7 @@
       team: this.#team?.name,
       priority: this.#team?.priority ?? route?.priority,
       tokens: tokensOf(this.#head.prompt),
+      parts: this.#isDisconnected ? this.#head.prompt?.parts.map(({ id }) => id) : undefined,
       timeLeft: this.#head.timeLeft,
       first: round(this.#firstByte),
       took: Math.round(clock.now() - this.#arrivedAt),
