--- a/packages/standins/src/stack/server.ts
+++ b/packages/standins/src/stack/server.ts
@@ -59,6 +59,10 @@
   /** Calls for the list of kept parts. */
   listCalls = 0;
   eventPause = 5;
+  /** Prompt part under which the server ends as soon as it begins to write an answer. */
+  deadlyPart: string | undefined;
+  /** Called when it has ended. */
+  onEnd: () => void = () => undefined;
   /** Whether its answers say that it is leaving, except those that break off or go on without end. */
   isLeaving = false;
   /** In seconds; for `refusesForTime`. */
@@ -76,20 +80,21 @@
   private constructor(
     readonly id: string,
     private readonly server: Server,
+    private readonly port: number,
   ) {}
 
   static async start(id: string): Promise<StackServer> {
     const server = createServer();
-    const made = new StackServer(id, server);
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+    const made = new StackServer(id, server, (server.address() as AddressInfo).port);
     server.on('request', (request, response) => {
       void made.#serve(request, response);
     });
-    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
     return made;
   }
 
   get address(): string {
-    return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+    return `127.0.0.1:${this.port}`;
   }
 
   /** Connections on which bytes beyond an answer are still to come. */
@@ -119,6 +124,12 @@
     this.server.closeAllConnections();
   }
 
+  /** Starts again at the same address after an end. */
+  async startAgain(): Promise<void> {
+    const { port } = this;
+    await new Promise<void>((resolve) => this.server.listen(port, '127.0.0.1', resolve));
+  }
+
   async close(): Promise<void> {
     this.dropConnections();
     await new Promise((resolve) => this.server.close(resolve));
@@ -148,10 +159,30 @@
     });
     const behaviour = this.behaviours.shift() ?? 'answers';
     if (behaviour !== 'refuses' && behaviour !== 'refusesForTime') this.ran.push(id);
+    if (this.deadlyPart !== undefined && sharedPartsOf(headers).includes(this.deadlyPart)) {
+      await this.#end(response);
+      return;
+    }
     const exchange = { content: this.#contentOf(id, request), request, response };
     await this.#answer(behaviour, exchange);
   }
 
+  /** Sends the head of a stream and ends with all its connections, as a process that crashes does. */
+  async #end(response: ServerResponse): Promise<void> {
+    const { 'request-id': id } = response.req.headers;
+    response.writeHead(200, {
+      'request-id': String(id),
+      'response-seal': `seal-${this.id}`,
+      'content-type': 'text/event-stream',
+    });
+    response.flushHeaders();
+    await pause(this.eventPause);
+    if (!this.server.listening) return;
+    this.server.close();
+    this.dropConnections();
+    this.onEnd();
+  }
+
   #contentOf(id: string, { headers }: IncomingMessage): Content {
     const server = this.id;
     if (headers['token-usage'] === undefined)
@@ -382,6 +413,12 @@
   }
 }
 
+/** Ids of the prompt parts that requests share: all but the last. */
+function sharedPartsOf(headers: IncomingMessage['headers']): readonly string[] {
+  const parts = String(headers['prompt-prefix'] ?? '').split(',');
+  return parts.slice(0, -1).map((part) => part.split(':')[0] ?? '');
+}
+
 function eventOf(event: number): string {
   return `id: ${event}\ndata: ${event}\n\n`;
 }
