routing: requests with a prompt part under which servers end are refused

What callers saw: servers ended one after the other, and most sound requests of the same kind died with one or found none.

Cause: nothing connected the end of a server with the requests that it had begun, neither at one router nor in the fleet, so each further request with the part cost a server, and a retry another one.

Change: each router records the shared prompt parts of requests whose server ended before they had gone on for 400 ms, and tells the others (CrashReports). A lost connection counts once the server cannot be reached or its registration is gone. Ends at the same moment count as one. The part that is at most ends in fewest requests explains them (PoisonParts): it is blocked for 10 minutes after 3 ends, or 5 if another part is at as many or it was answered before. Every request with it that is answered acquits it, at all routers. Blocked requests get 503 at once, also those that are queued.

--- a/packages/coordination/src/routing/admission.ts
+++ b/packages/coordination/src/routing/admission.ts
@@ -50,7 +50,7 @@
 }
 
 /** Why a job is refused. */
-export type RefusalReason = 'noServer' | 'overload' | 'deadline';
+export type RefusalReason = 'noServer' | 'overload' | 'deadline' | 'blockedPart';
 
 /** A snapshot of the servers. It reflects the jobs that are placed through it. */
 export interface ServerSnapshot {
@@ -200,7 +200,8 @@
     const { job } = queued;
     const now = this.clock.now();
     const placement = snapshot.place(job, ahead);
-    queued.lastPlacement = placement.kind === 'none' ? undefined : placement;
+    const hasServer = placement.kind === 'server' || placement.kind === 'wait';
+    queued.lastPlacement = hasServer ? placement : undefined;
     switch (placement.kind) {
       case 'server':
         this.#settle(queued, { ...placement, kind: 'server' });
@@ -218,6 +219,13 @@
         }
         ahead.set(placement.id, sumLoads(ahead.get(placement.id) ?? noLoad, placement.addedLoad));
         return;
+      case 'blocked':
+        this.#settle(queued, {
+          kind: 'refused',
+          reason: 'blockedPart',
+          retryAfter: placement.blockedFor,
+        });
+        return;
       case 'none': {
         const { availableIn } = placement;
         if (availableIn !== undefined) {
--- /dev/null
+++ b/packages/coordination/src/routing/crashReports.ts
@@ -0,0 +1,182 @@
+// Which requests were at a server when its process ended, as seen by the routers that had sent them. A lost connection alone
+// is no end: the end is confirmed when the server cannot be reached afterwards, or when its registration is gone or names a
+// new start. Each router reports what it saw, and every router merges the reports of all.
+
+import type { Clock, Milliseconds } from '@catkinwheel/state';
+import type { ServerInstance } from './departures.js';
+
+/** A shared prompt part of requests that had hardly begun at a server when their connections were lost. */
+export interface ImplicatedPart {
+  readonly id: string;
+  /** Position in the prompt; 0 is the first part. */
+  readonly depth: number;
+  /** Number of such requests. */
+  readonly requests: number;
+}
+
+/** What one router saw of the end of one instance. */
+export interface CrashReport {
+  readonly reporter: string;
+  readonly server: ServerInstance;
+  /** When the first connection was lost, or the end was noticed. */
+  readonly at: Milliseconds;
+  readonly isConfirmed: boolean;
+  /** Empty if the router had no such requests there. */
+  readonly parts: readonly ImplicatedPart[];
+}
+
+/** The end of an instance, from the reports of all routers. */
+export interface CrashEnd {
+  readonly at: Milliseconds;
+  readonly parts: ReadonlyMap<string, ImplicatedPart>;
+}
+
+/** Time for which ends count as evidence. */
+const evidenceLifetime: Milliseconds = 60_000;
+/** Time after its last change for which a report is sent to other routers, so that lost datagrams do not matter. */
+const sendingTime: Milliseconds = 3_000;
+/** Max reports that are kept; the oldest are dropped first. */
+const maxReports = 512;
+/** Max reports in one datagram, and parts in one report, so that they fit. */
+const maxSentReports = 12;
+const maxParts = 24;
+
+interface KnownReport extends CrashReport {
+  readonly changedAt: Milliseconds;
+}
+
+/** The reports of one router and those that it has received. */
+export class CrashReports {
+  /** In the order of arrival. */
+  #reports: ReadonlyMap<string, KnownReport> = new Map();
+
+  private constructor(
+    private readonly clock: Clock,
+    private readonly self: string,
+  ) {}
+
+  /** `self` is the name of this router. */
+  static create(clock: Clock, self: string): CrashReports {
+    return new CrashReports(clock, self);
+  }
+
+  /** Records that a request that had hardly begun lost its connection to the server. */
+  recordLoss(server: ServerInstance, partIds: readonly string[]): void {
+    const known = this.#own(server);
+    if (known === undefined && partIds.length === 0) return;
+    const parts = partIds
+      .map((id, depth) => ({ id, depth, requests: 1 }))
+      .reduce(addPart, known?.parts ?? []);
+    this.#put({
+      reporter: this.self,
+      server,
+      at: known?.at ?? this.clock.now(),
+      isConfirmed: known?.isConfirmed ?? false,
+      parts: parts.slice(0, maxParts),
+    });
+  }
+
+  /** Records that the instance cannot be reached, or that its registration is gone or names another start. */
+  confirm(server: ServerInstance): void {
+    const known = this.#own(server);
+    if (known?.isConfirmed === true) return;
+    const empty = { reporter: this.self, server, at: this.clock.now(), parts: [] };
+    this.#put({ ...(known ?? empty), isConfirmed: true });
+  }
+
+  /** Records that the instance has responded to a request that was sent at `sentAt`: it has not ended before. */
+  recordAlive(server: ServerInstance, sentAt: Milliseconds): void {
+    const known = this.#own(server);
+    if (known === undefined || known.isConfirmed || known.at >= sentAt) return;
+    const reports = new Map(this.#reports);
+    reports.delete(keyOf(known));
+    this.#reports = reports;
+  }
+
+  /** Instances to which this router has lost connections and of which it is not known whether they have ended. */
+  unconfirmed(): readonly ServerInstance[] {
+    return [...this.#reports.values()]
+      .filter(({ reporter, isConfirmed }) => reporter === this.self && !isConfirmed)
+      .map(({ server }) => server);
+  }
+
+  /** Merges a report of another router. Returns whether it says anything new. */
+  receive(report: CrashReport): boolean {
+    if (report.reporter === this.self) return false;
+    const known = this.#reports.get(keyOf(report));
+    const isNews =
+      known === undefined ||
+      (report.isConfirmed && !known.isConfirmed) ||
+      requestsOf(report) > requestsOf(known);
+    if (isNews) this.#put(report);
+    return isNews;
+  }
+
+  /** Reports to send: those that changed lately, of this router only or of all routers. */
+  recent(scope: 'own' | 'all'): readonly CrashReport[] {
+    const oldest = this.clock.now() - sendingTime;
+    return [...this.#reports.values()]
+      .filter(({ reporter }) => scope === 'all' || reporter === this.self)
+      .filter(({ changedAt }) => changedAt >= oldest)
+      .slice(-maxSentReports);
+  }
+
+  /** Confirmed ends of instances, the earliest first. */
+  ends(): readonly CrashEnd[] {
+    const byInstance = new Map<string, KnownReport[]>();
+    for (const report of this.#reports.values()) {
+      const key = instanceKey(report.server);
+      byInstance.set(key, [...(byInstance.get(key) ?? []), report]);
+    }
+    return [...byInstance.values()]
+      .filter((reports) => reports.some(({ isConfirmed }) => isConfirmed))
+      .map((reports) => {
+        const parts = reports.flatMap((report) => report.parts).reduce(addPart, []);
+        // A router that lost no request notices the end later than those that did.
+        const withLoss = reports.filter((report) => report.parts.length > 0);
+        const at = Math.min(...(withLoss.length > 0 ? withLoss : reports).map((each) => each.at));
+        return { at, parts: new Map(parts.map((part) => [part.id, part])) };
+      })
+      .sort((a, b) => a.at - b.at);
+  }
+
+  expire(): void {
+    const oldest = this.clock.now() - evidenceLifetime;
+    if (![...this.#reports.values()].some(({ at }) => at < oldest)) return;
+    this.#reports = new Map([...this.#reports].filter(([, { at }]) => at >= oldest));
+  }
+
+  #own(server: ServerInstance): KnownReport | undefined {
+    return this.#reports.get(keyOf({ reporter: this.self, server }));
+  }
+
+  #put(report: CrashReport): void {
+    const reports = new Map(this.#reports);
+    const key = keyOf(report);
+    reports.delete(key);
+    reports.set(key, { ...report, changedAt: this.clock.now() });
+    this.#reports = new Map([...reports].slice(-maxReports));
+  }
+}
+
+function addPart(
+  parts: readonly ImplicatedPart[],
+  added: ImplicatedPart,
+): readonly ImplicatedPart[] {
+  const known = parts.find(({ id }) => id === added.id);
+  if (known === undefined) return [...parts, added];
+  const sum = { ...known, requests: known.requests + added.requests };
+  return parts.map((part) => (part === known ? sum : part));
+}
+
+function requestsOf({ parts }: CrashReport): number {
+  return parts.reduce((sum, { requests }) => sum + requests, 0);
+}
+
+function instanceKey({ id, born }: ServerInstance): string {
+  return `${id} ${born ?? ''}`;
+}
+
+function keyOf({ reporter, server }: Pick<CrashReport, 'reporter' | 'server'>): string {
+  return `${reporter} ${instanceKey(server)}`;
+}
--- a/packages/coordination/src/routing/dispatcher.ts
+++ b/packages/coordination/src/routing/dispatcher.ts
@@ -7,6 +7,7 @@
 import { ColdStartLimiter, type ColdRateBound } from './coldStart.js';
 import { EngineTiming } from './engineTiming.js';
 import { HoldOffs } from './holdOffs.js';
+import { PoisonGuard, type CrashEvidence, type PartChange } from './poisonGuard.js';
 import { PrefixHomes } from './prefixHomes.js';
 import {
   LocalLoads,
@@ -75,6 +76,8 @@
   readonly missing: number;
   /** Marks that the first event has arrived. */
   started(): void;
+  /** Marks that bytes of a successful response have arrived. */
+  progressed(): void;
   /** Ends the attempt. `result` is omitted if the attempt says nothing about the server's health. */
   finish(result?: ServerOutcome): void;
 }
@@ -100,6 +103,8 @@
   readonly entrances: () => readonly string[];
   /** Called when the result of an attempt changes the health of a server. */
   readonly onServer?: (server: string, change: HealthChange, failureRate: number) => void;
+  /** Called when a prompt part is blocked, since servers end under it, or released. */
+  readonly onPart?: (change: PartChange) => void;
 }
 
 /** Places the requests of one router. */
@@ -112,6 +117,7 @@
   readonly #prefixCaches = PrefixCacheIndex.create();
   readonly #coldStart: ColdStartLimiter;
   readonly #holdOffs: HoldOffs;
+  readonly #poisonGuard: PoisonGuard;
   readonly #teamUsage: TeamUsage;
   readonly #admission: Admission;
   readonly #engineTimings = new Map<string, EngineTiming>();
@@ -135,6 +141,9 @@
     this.#reports = Reports.create(clock);
     this.#coldStart = ColdStartLimiter.create(clock, options.cold, self, entrances);
     this.#holdOffs = HoldOffs.create(clock);
+    this.#poisonGuard = PoisonGuard.create(clock, self, (change) => {
+      options.onPart?.(change);
+    });
     this.#teamUsage = TeamUsage.create(clock);
     this.#admission = Admission.create(clock, options.work, { snapshot: () => this.#snapshot() });
   }
@@ -163,7 +172,7 @@
    * Applies the set of current server registrations. `storeAway`: the store has recently been unreachable.
    */
   applyServers(present: readonly Server[], storeAway: boolean): void {
-    for (const id of this.servers.update(present, storeAway)) this.#forget(id);
+    this.#forget(this.servers.update(present, storeAway));
     this.#prefixHomes.clear();
     this.#admission.placeQueued();
   }
@@ -228,7 +237,8 @@
   tick(): void {
     this.#reports.expire();
     this.#holdOffs.expire();
-    for (const id of this.servers.expire()) this.#forget(id);
+    this.#forget(this.servers.expire());
+    this.#poisonGuard.tick();
     this.#admission.placeQueued();
   }
 
@@ -290,6 +300,15 @@
     this.#admission.placeQueued();
   }
 
+  /** What other routers are to know about prompt parts under which servers end. */
+  crashEvidence(scope: 'own' | 'all'): CrashEvidence {
+    return this.#poisonGuard.evidence(scope);
+  }
+
+  hearCrashEvidence(evidence: CrashEvidence): void {
+    this.#poisonGuard.hear(evidence);
+  }
+
   #ownReport(): Report {
     return {
       loads: this.#loads.all(),
@@ -325,6 +344,8 @@
     const service = this.#service(job.service);
     if (request === undefined || service === undefined) return { kind: 'none' };
     const { prompt } = request;
+    const blockedFor = this.#poisonGuard.blockedFor(prompt);
+    if (blockedFor > 0) return { kind: 'blocked', blockedFor };
     const candidates = this.#candidates(request, service, usable, ahead, received);
     const timing = this.#timing(service, request.route);
     const memory = requestMemory(prompt);
@@ -356,6 +377,7 @@
         ...this.#unreportedParts,
         ...this.#prefixCaches.recordPrefill(server.id, service.engine.memory, request.prompt),
       ];
+    const run = this.#poisonGuard.begin(server, request.prompt, () => this.#isLeaving(server));
     const sent = clock.now();
     let isStarted = false;
     let isFinished = false;
@@ -375,7 +397,11 @@
         }
         this.#admission.placeQueued();
       },
+      progressed: () => {
+        run.progressed();
+      },
       finish: (result) => {
+        run.finished(result);
         inFlight.finish();
         if (!isFinished && !isStarted) charge.refund();
         isFinished = true;
@@ -459,6 +485,11 @@
     return candidates;
   }
 
+  #isLeaving({ id, born }: KnownServer): boolean {
+    const known = this.servers.get(id);
+    return known?.born === born && known?.isLeaving === true;
+  }
+
   #isFree(server: KnownServer): boolean {
     const { id, service, slots } = server;
     if (!this.serverHealth.isUsable(id) || this.#holdOffs.remaining(server) > 0) return false;
@@ -526,9 +557,13 @@
     return service === undefined ? 0 : (this.#service(service)?.engine?.memory ?? 0);
   }
 
-  #forget(server: string): void {
-    this.#prefixCaches.forget(server);
-    this.serverHealth.forget(server);
+  /** Drops what was learned about servers that are gone or have restarted. */
+  #forget(ids: readonly string[]): void {
+    for (const id of ids) {
+      this.#prefixCaches.forget(id);
+      this.serverHealth.forget(id);
+    }
+    this.#poisonGuard.recordGone(ids, ({ id, born }) => this.servers.get(id)?.born === born);
   }
 }
 
--- a/packages/coordination/src/routing/index.ts
+++ b/packages/coordination/src/routing/index.ts
@@ -3,6 +3,7 @@
 export * from './admission.js';
 export * from './responseClassification.js';
 export * from './coldStart.js';
+export * from './crashReports.js';
 export * from './departures.js';
 export * from './dispatcher.js';
 export * from './engineTiming.js';
@@ -11,6 +12,8 @@
 export * from './relayProgress.js';
 export * from './connectionHandover.js';
 export * from './holdOffs.js';
+export * from './poisonGuard.js';
+export * from './poisonParts.js';
 export * from './prefixHomes.js';
 export * from './loads.js';
 export * from './members.js';
--- a/packages/coordination/src/routing/placement.ts
+++ b/packages/coordination/src/routing/placement.ts
@@ -98,7 +98,9 @@
       readonly kind: 'none';
       /** Time until the first server wants requests again; undefined unless none wants any now. */
       readonly availableIn?: Milliseconds;
-    };
+    }
+  /** A part of the request's prompt is blocked for so long. */
+  | { readonly kind: 'blocked'; readonly blockedFor: Milliseconds };
 
 /**
  * Chooses the candidate with the best score. `memory` is what the request needs in addition to shared parts,
--- a/packages/coordination/src/routing/serverHealth.ts
+++ b/packages/coordination/src/routing/serverHealth.ts
@@ -9,6 +9,8 @@
   | 'answered'
   /** A failure caused by the server, or a broken response. */
   | 'failed'
+  /** The connection was lost before the response was complete. */
+  | 'disconnected'
   /** No connection could be opened. */
   | 'unreachable'
   /** The server refused the request without running it. */
@@ -76,6 +78,7 @@
       case 'answered':
         return { ...updateFailureRate(record, 0), pausedUntil: 0, failedConnections: 0 };
       case 'failed':
+      case 'disconnected':
         return { ...updateFailureRate(record, 1), failedConnections: 0 };
       case 'refused':
         return { ...record, failedConnections: 0, pausedUntil: now + minPause };
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -53,7 +53,7 @@
       return isMisdirected(attempt.status) ? 'misdirected' : 'refused';
     case 'failed':
     case 'cut':
-      return 'failed';
+      return attempt.isDisconnected ? 'disconnected' : 'failed';
     case 'ended':
       return attempt.cause === 'silence' ? 'failed' : undefined;
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -100,6 +100,9 @@
       onServer: (server, change, failureRate) => {
         log.write(`server ${change}`, { server, failureRate: Number(failureRate.toFixed(2)) });
       },
+      onPart: ({ kind, ...fields }) => {
+        log.write(`prompt part ${kind}`, fields);
+      },
     });
     const storeReplica = StoreReplica.create(clock, dispatcher, log);
     const store = StoreClient.create(settings.store);
--- a/packages/gateway/src/gossip.ts
+++ b/packages/gateway/src/gossip.ts
@@ -29,6 +29,7 @@
   tuple,
   type GetType,
 } from 'purify-ts';
+import { decodeEvidence, encodeEvidence, evidenceCodec } from './crashEvidence.js';
 import { tableNames, type StoreReplica } from './storeReplica.js';
 import type { Log } from './log.js';
 
@@ -77,6 +78,8 @@
   parts: array(tuple([string, string, number])),
   /** Servers that have said that they are leaving, with their start times; routers of earlier versions send none. */
   leaving: optional(array(tuple([string, nullable(number)]))),
+  /** Missing if there is nothing to tell. */
+  evidence: optional(evidenceCodec),
 });
 
 type Message = GetType<typeof messageCodec>;
@@ -244,9 +247,15 @@
       least: [...report.least].map(([server, tokens]) => [server, Math.round(tokens)]),
       parts: report.parts.map(({ server, part, tokens }) => [server, part, tokens]),
       leaving: this.options.dispatcher.announcedLeaving().map(({ id, born }) => [id, born ?? null]),
+      evidence: this.#encodeEvidence(otherMembers === null ? 'own' : 'all'),
     };
   }
 
+  #encodeEvidence(scope: 'own' | 'all'): Message['evidence'] {
+    const { dispatcher, clock } = this.options;
+    return encodeEvidence(dispatcher.crashEvidence(scope), clock.now());
+  }
+
   #receive(bytes: Buffer, from: string): void {
     const { log } = this.options;
     let json: unknown;
@@ -289,6 +298,8 @@
       if (dispatcher.recordLeaving({ id: server, born: born ?? undefined }))
         log.write('server leaving', { server, source: 'peer', peer: name });
     }
+    if (message.evidence !== undefined)
+      dispatcher.hearCrashEvidence(decodeEvidence(message.evidence, this.options.clock.now()));
     const reporter: Reporter =
       otherMembers === null
         ? { kind: 'router', name }
--- a/packages/gateway/src/requestHandler.ts
+++ b/packages/gateway/src/requestHandler.ts
@@ -332,7 +332,8 @@
         request: this.#head.id,
       });
     };
-    const onProgress = (): void => {
+    const onProgress = (status: number): void => {
+      if (isSuccess(status)) grant.progressed();
       if (first === undefined) {
         first = clock.now() - sentAt;
         grant.started();
@@ -383,7 +384,7 @@
       /** The server said something about itself in the head of a response. */
       readonly notice: (notice: ServerNotice) => void;
       /** Bytes have arrived and are being forwarded to the caller. */
-      readonly progress: () => void;
+      readonly progress: (status: number) => void;
       /** More bytes are awaited from the server. */
       readonly wait: () => void;
       /** The rest of the response is read and discarded. */
@@ -418,7 +419,7 @@
               if (run === undefined) return this.#brokenAttempt('another kind of answer');
               // The head of a stream may come long before its first event; the prediction is for that event.
               if (route.kind !== 'streaming') {
-                callbacks.progress();
+                callbacks.progress(status);
                 callbacks.wait();
               }
               break;
@@ -440,7 +441,7 @@
             break;
           }
           if (run === undefined) break;
-          callbacks.progress();
+          callbacks.progress(status);
           const result = await run.take(part.bytes);
           callbacks.wait();
           if (result.kind === 'unusable') return this.#brokenAttempt(result.detail);
@@ -598,6 +599,10 @@
   }
 }
 
+function isSuccess(status: number): boolean {
+  return status >= 200 && status < 300;
+}
+
 function isRetriable(route: Route): boolean {
   switch (route.kind) {
     case 'idempotent':
--- a/packages/standins/src/experiment/policy.ts
+++ b/packages/standins/src/experiment/policy.ts
@@ -89,6 +89,7 @@
       predicted: 0,
       missing: 0,
       started: () => undefined,
+      progressed: () => undefined,
       finish: (result) => {
         if (isFinished) return;
         isFinished = true;
