--- a/packages/coordination/src/claimRow.ts
+++ b/packages/coordination/src/claimRow.ts
@@ -12,6 +12,7 @@
   record,
   string,
 } from 'purify-ts';
+import { decodeForeign } from '@catkinwheel/protocol';
 import type { EntryName } from '@catkinwheel/state';
 
 const recordedAnswer = Codec.interface({
@@ -40,7 +41,7 @@
 
 /** Decodes the value of a claim row; undefined if it is malformed. */
 export function decodeClaimRow(value: unknown): ClaimRow | undefined {
-  return claimRow.decode(value).toMaybe().extractNullable() ?? undefined;
+  return decodeForeign(claimRow, value).unwrapOr(undefined);
 }
 
 /** Table key of the claim on `key` in `entry`. */
--- a/packages/coordination/src/leaseRows.ts
+++ b/packages/coordination/src/leaseRows.ts
@@ -2,7 +2,7 @@
 // which an incarnation of a router shows that it is alive.
 
 import type { Row } from '@catkinwheel/protocol';
-import { routerCodec } from '@catkinwheel/protocol';
+import { decodeForeign, routerCodec } from '@catkinwheel/protocol';
 import type {
   FencingToken,
   Incarnation,
@@ -70,7 +70,7 @@
 
 /** Decodes the value of a session row; undefined if it is malformed. */
 export function decodeSessionValue(row: Row): SessionValue | undefined {
-  return SessionValue.decode(row.value).toMaybe().extract();
+  return decodeForeign(SessionValue, row.value).unwrapOr(undefined);
 }
 
 /**
@@ -84,12 +84,11 @@
 
 /** Decodes a keeper row; undefined if its value is malformed. */
 export function decodeKeeperRow(row: Row): KeeperRow | undefined {
-  return KeeperValue.decode(row.value)
+  return decodeForeign(KeeperValue, row.value)
     .map((value) => ({
       ...value,
       server: row.key.slice(keeperPrefix.length),
       version: row.version,
     }))
-    .toMaybe()
-    .extract();
+    .unwrapOr(undefined);
 }
--- a/packages/gateway/src/gossip.ts
+++ b/packages/gateway/src/gossip.ts
@@ -1,6 +1,7 @@
 // Gossip between routers in UDP datagrams: liveness, versions of the copied tables, and load reports. In a large fleet
 // representatives exchange sums of their data centres. A lost datagram is superseded by the next one.
 
+import { decodeForeign } from '@catkinwheel/protocol';
 import { createSocket, type Socket } from 'node:dgram';
 import {
   probesSilentPeer,
@@ -265,14 +266,14 @@
       log.write('datagram refused', { ip: from, detail: String(error) });
       return;
     }
-    messageCodec.decode(json).caseOf({
-      Left: (detail) => {
-        log.write('datagram refused', { ip: from, detail });
-      },
-      Right: (message) => {
+    decodeForeign(messageCodec, json).match(
+      (message) => {
         if (message.router !== this.options.router) this.#apply(message, bytes, from);
       },
-    });
+      (detail) => {
+        log.write('datagram refused', { ip: from, detail });
+      },
+    );
   }
 
   #apply(message: Message, bytes: Buffer, from: string): void {
--- a/packages/gateway/src/peerState.ts
+++ b/packages/gateway/src/peerState.ts
@@ -3,6 +3,7 @@
 
 import type { Clock, Milliseconds } from '@catkinwheel/state';
 import type { Hono } from 'hono';
+import { decodeForeign } from '@catkinwheel/protocol';
 import { Codec, array, number, optional, string, tuple, type GetType } from 'purify-ts';
 import type { Dispatcher, Members } from '@catkinwheel/coordination/routing';
 import { Agent } from 'undici';
@@ -97,14 +98,14 @@
       });
       const json = await body.json();
       if (statusCode !== 200) throw new Error(`status ${statusCode}`);
-      stateCodec.decode(json).caseOf({
-        Left: (detail) => {
-          log.write('peer state refused', { address, detail });
-        },
-        Right: (state) => {
+      decodeForeign(stateCodec, json).match(
+        (state) => {
           this.#apply(state);
         },
-      });
+        (detail) => {
+          log.write('peer state refused', { address, detail });
+        },
+      );
     } catch (error) {
       log.write('peer state not read', { address, detail: String(error) });
     }
--- a/packages/gateway/src/registration.ts
+++ b/packages/gateway/src/registration.ts
@@ -4,6 +4,7 @@
 import type { Members } from '@catkinwheel/coordination/routing';
 import type { StoreClient } from '@catkinwheel/platform';
 import type { Clock, Milliseconds } from '@catkinwheel/state';
+import { decodeForeign } from '@catkinwheel/protocol';
 import { Codec, number, string } from 'purify-ts';
 import type { Log } from './log.js';
 
@@ -57,14 +58,14 @@
 
   #register(name: string, value: string): void {
     const { members, log } = this.options;
-    registrationCodec.decode(parse(value)).caseOf({
-      Left: (detail) => {
-        log.write('registration refused', { peer: name, detail });
-      },
-      Right: (router) => {
+    decodeForeign(registrationCodec, parse(value)).match(
+      (router) => {
         members.register(name, router);
       },
-    });
+      (detail) => {
+        log.write('registration refused', { peer: name, detail });
+      },
+    );
   }
 
   /** Removes the registration; best effort, since routers without contact are removed after a time anyway. */
--- a/packages/protocol/src/decode.ts
+++ b/packages/protocol/src/decode.ts
@@ -37,6 +37,24 @@
   });
 }
 
+/** Longest error of `decodeForeign` in characters; the rest would repeat the input. */
+const maxErrorLength = 500;
+
+/**
+ * Decodes input that another program wrote, with one of purify's own codecs. Their errors print the invalid value, which throws
+ * if the value is nested too deeply.
+ */
+export function decodeForeign<T>(codec: Codec<T>, input: unknown): Result<T, string> {
+  try {
+    return codec.decode(input).caseOf<Result<T, string>>({
+      Left: (error) => err(error.slice(0, maxErrorLength)),
+      Right: (value) => ok(value),
+    });
+  } catch (error) {
+    return err(`cannot be decoded: ${String(error)}`);
+  }
+}
+
 /** Formats a problem as one line, such as `teams.a.weight: expected a number above 0`. */
 export function formatProblem({ path, detail }: ValidationProblem): string {
   return path.length === 0 ? detail : `${path.join('.')}: ${detail}`;
--- a/packages/transport/src/serverControl.ts
+++ b/packages/transport/src/serverControl.ts
@@ -1,9 +1,9 @@
 // Control requests to servers: load reports and orders. They have connections of their own, so that
 // a load report is not delayed by the requests that make up the load.
 
-import type { LoadReport, Order } from '@catkinwheel/protocol';
+import { decodeForeign, type LoadReport, type Order } from '@catkinwheel/protocol';
 import type { Milliseconds } from '@catkinwheel/state';
-import { errAsync, okAsync, ResultAsync } from 'neverthrow';
+import { ResultAsync } from 'neverthrow';
 import { array, boolean, Codec, number, optional, string } from 'purify-ts';
 import { Agent } from 'undici';
 
@@ -38,10 +38,9 @@
   /** Requests the server's load report. The error is a sentence for a human reader. */
   load(address: string): ResultAsync<LoadReport, string> {
     return this.#request(address, 'GET', '/load').andThen((body) =>
-      loadReport.decode(body).caseOf({
-        Left: (error) => errAsync(`malformed load report: ${error}`),
-        Right: (load) => okAsync<LoadReport, string>({ ...load, age: load.age ?? 0 }),
-      }),
+      decodeForeign(loadReport, body)
+        .map((load) => ({ ...load, age: load.age ?? 0 }))
+        .mapErr((error) => `malformed load report: ${error}`),
     );
   }
 
