routing: a removed registration or an old loss is no end of a server

What a server loses long before it ends for another reason counted as well.

A registration confirms an end only if it names another start now; a connection that was lost more than 5 s before the end was noticed is not counted. Servers that end are noticed by requests that find no listener.

--- a/packages/coordination/src/routing/crashReports.ts
+++ b/packages/coordination/src/routing/crashReports.ts
@@ -1,6 +1,5 @@
 // Which requests were at a server when its process ended, as seen by the routers that had sent them. A lost connection alone
-// is no end: the end is confirmed when the server cannot be reached afterwards, or when its registration is gone or names a
-// new start. Each router reports what it saw, and every router merges the reports of all.
+// is no end: the end is confirmed when the server cannot be reached afterwards, or when its registration names a new start. Each router reports what it saw, and every router merges the reports of all.
 
 import type { Clock, Milliseconds } from '@catkinwheel/state';
 import type { ServerInstance } from './departures.js';
@@ -31,6 +30,8 @@
   readonly parts: ReadonlyMap<string, ImplicatedPart>;
 }
 
+/** A connection that was lost longer than this before the end was noticed was lost for another reason. */
+const maxNoticeTime: Milliseconds = 5_000;
 /** Time for which ends count as evidence. */
 const evidenceLifetime: Milliseconds = 60_000;
 /** Time after its last change for which a report is sent to other routers, so that lost datagrams do not matter. */
@@ -76,12 +77,13 @@
     });
   }
 
-  /** Records that the instance cannot be reached, or that its registration is gone or names another start. */
+  /** Records that the instance cannot be reached, or that its registration names another start. */
   confirm(server: ServerInstance): void {
     const known = this.#own(server);
     if (known?.isConfirmed === true) return;
+    const isRecent = known !== undefined && this.clock.now() - known.at <= maxNoticeTime;
     const empty = { reporter: this.self, server, at: this.clock.now(), parts: [] };
-    this.#put({ ...(known ?? empty), isConfirmed: true });
+    this.#put({ ...(isRecent ? known : empty), isConfirmed: true });
   }
 
   /** Records that the instance has responded to a request that was sent at `sentAt`: it has not ended before. */
@@ -129,13 +131,16 @@
       byInstance.set(key, [...(byInstance.get(key) ?? []), report]);
     }
     return [...byInstance.values()]
-      .filter((reports) => reports.some(({ isConfirmed }) => isConfirmed))
-      .map((reports) => {
-        const parts = reports.flatMap((report) => report.parts).reduce(addPart, []);
+      .flatMap((reports) => {
+        const confirmed = reports.filter(({ isConfirmed }) => isConfirmed);
+        const noticed = Math.min(...confirmed.map(({ at }) => at));
+        const related = reports.filter(({ at }) => at >= noticed - maxNoticeTime);
+        if (confirmed.length === 0) return [];
+        const parts = related.flatMap((report) => report.parts).reduce(addPart, []);
         // A router that lost no request notices the end later than those that did.
-        const withLoss = reports.filter((report) => report.parts.length > 0);
-        const at = Math.min(...(withLoss.length > 0 ? withLoss : reports).map((each) => each.at));
-        return { at, parts: new Map(parts.map((part) => [part.id, part])) };
+        const withLoss = related.filter((report) => report.parts.length > 0);
+        const at = Math.min(noticed, ...withLoss.map((each) => each.at));
+        return [{ at, parts: new Map(parts.map((part) => [part.id, part])) }];
       })
       .sort((a, b) => a.at - b.at);
   }
--- a/packages/coordination/src/routing/dispatcher.ts
+++ b/packages/coordination/src/routing/dispatcher.ts
@@ -173,6 +173,7 @@
    */
   applyServers(present: readonly Server[], storeAway: boolean): void {
     this.#forget(this.servers.update(present, storeAway));
+    this.#poisonGuard.recordRegistrations((id) => this.servers.get(id)?.born);
     this.#prefixHomes.clear();
     this.#admission.placeQueued();
   }
@@ -563,7 +564,6 @@
       this.#prefixCaches.forget(id);
       this.serverHealth.forget(id);
     }
-    this.#poisonGuard.recordGone(ids, ({ id, born }) => this.servers.get(id)?.born === born);
   }
 }
 
--- a/packages/coordination/src/routing/poisonGuard.test.ts
+++ b/packages/coordination/src/routing/poisonGuard.test.ts
@@ -137,3 +137,19 @@
   for (let seed = 1; seed <= 15; seed += 1)
     assert.deepEqual([...(await play(seed, Infinity)).blocked], [], `seed ${seed}`);
 });
+
+// Guards against blame where servers break answers off and are taken away later, as in the replacement of a service.
+test('a server that lost connections and whose registration is removed has not ended under its requests', async () => {
+  const clock = Clock.manual(0);
+  const blocked: string[] = [];
+  const guard = PoisonGuard.create(clock, 'r1', ({ part }) => {
+    blocked.push(part);
+  });
+  for (const id of ['a', 'b', 'c', 'd', 'e']) {
+    guard.begin({ id, born: 1 }, promptOf('dead'), () => false).finished('disconnected');
+    guard.recordRegistrations(() => undefined);
+    guard.tick();
+    await clock.advance(200);
+  }
+  assert.deepEqual(blocked, []);
+});
--- a/packages/coordination/src/routing/poisonGuard.ts
+++ b/packages/coordination/src/routing/poisonGuard.ts
@@ -106,11 +106,14 @@
     };
   }
 
-  /** Records that the registrations of servers are gone or name another start; `isCurrent` tells of which this is not so. */
-  recordGone(ids: readonly string[], isCurrent: (server: ServerInstance) => boolean): void {
-    if (ids.length === 0) return;
+  /**
+   * Records that the set of registrations has changed. `bornOf` is the start time that the registration of a server names;
+   * undefined if there is none. That a registration is gone is no sign of an end: servers are also taken away.
+   */
+  recordRegistrations(bornOf: (id: string) => number | undefined): void {
     for (const server of this.#crashes.unconfirmed()) {
-      if (!ids.includes(server.id) || isCurrent(server)) continue;
+      const born = bornOf(server.id);
+      if (born === undefined || born === server.born) continue;
       this.#crashes.confirm(server);
       this.#hasNews = true;
     }
--- a/packages/coordination/src/routing/poisonParts.test.ts
+++ b/packages/coordination/src/routing/poisonParts.test.ts
@@ -122,3 +122,17 @@
     [0],
   );
 });
+
+// Guards against blame for connections that a server broke off long before it ended for another reason.
+test('a connection that was lost long before the end of its server does not count', async () => {
+  const clock = Clock.manual(1_000);
+  const reports = CrashReports.create(clock, 'r1');
+  const server = { id: 'a', born: 1 };
+  reports.recordLoss(server, ['first']);
+  await clock.advance(10_000);
+  reports.receive({ reporter: 'r2', server, at: clock.now(), isConfirmed: true, parts: [] });
+  assert.deepEqual(
+    reports.ends().map(({ parts }) => parts.size),
+    [0],
+  );
+});
