--- a/packages/standins/src/stack/answerBytes.test.ts
+++ b/packages/standins/src/stack/answerBytes.test.ts
@@ -560,6 +560,14 @@
   });
 }
 
+/** An answer whose text must not come into a stream. */
+function errorOf(request: RawRequest, status: string, lines: readonly string[]): string {
+  const text = 'data: the engine has failed\n\n';
+  const head = headOf(request, [...lines, 'Connection: close'], status);
+  if (lines.includes('Transfer-Encoding: chunked')) return `${head}${chunk(text)}0\r\n\r\n`;
+  return head.replace(/\r\n\r\n$/, `\r\nContent-Length: ${text.length}\r\n\r\n${text}`);
+}
+
 // Guards against a joined stream when the second run is not the continuation that was asked for.
 for (const [name, second] of [
   [
@@ -580,6 +588,11 @@
     'ends within an event',
     (request) => headOf(request, stream) + chunk(`${eventsFrom(4)}id: 7\nda`) + '0\r\n\r\n',
   ],
+  ['is an error with a text', (request) => errorOf(request, '500 Failed', [])],
+  ['is an error in the form of events', (request) => errorOf(request, '500 Failed', stream)],
+  ['is an error without an id', (request) => errorOf({ ...request, id: '' }, '500 Failed', [])],
+  ['is a refusal', (request) => errorOf(request, '503 Full', ['Not-Executed: 1'])],
+  ['is a success with an error in plain text', (request) => errorOf(request, '200 OK', [])],
 ] as readonly [string, (request: RawRequest) => string][]) {
   test(`a stream is broken or whole when its second run ${name}`, async () => {
     let lastEvent: string | undefined;
@@ -808,6 +821,48 @@
       connection.close();
     });
 
+// Guards against REFUSED and TWICE: a faulty server writes the refusal of an earlier request once more on a kept connection,
+// while it runs the request that is sent there.
+for (const [name, fields] of [
+  ['of the earlier id', (id) => `Request-Id: ${id}\r\nNot-Executed: 1\r\n`],
+  ['without an id', () => 'Not-Executed: 1\r\n'],
+  [
+    'with a time to come back',
+    (id) => `Request-Id: ${id}\r\nNot-Executed: 1\r\nRetry-After: 1\r\n`,
+  ],
+] as readonly [string, (id: string) => string][])
+  for (const when of ['before the request is sent', 'in place of its answer'] as const)
+    test(`an earlier refusal ${name}, once more ${when}, is not that of a request that runs`, async () => {
+      const runs: string[] = [];
+      const refused = new Map<string, { readonly socket: Socket; readonly refusal: string }>();
+      await start(names.desk, async (request) => {
+        const { socket, id, server } = request;
+        const earlier = refused.get(server);
+        if (earlier === undefined) {
+          const refusal = `HTTP/1.1 503 Full\r\n${fields(id)}Content-Length: 0\r\n\r\n`;
+          refused.set(server, { socket, refusal });
+          socket.write(refusal);
+          if (when === 'before the request is sent') setTimeout(() => socket.write(refusal), 30);
+          return;
+        }
+        runs.push(id);
+        if (when === 'in place of its answer') socket.write(earlier.refusal);
+        await pause(50);
+        socket.write(whole(request));
+      });
+      const connection = await CallerConnection.open(address());
+      const told = new Map<string, number | undefined>();
+      for (let round = 0; round < 8; round += 1) {
+        const { id, answer } = await ask(connection, '/charges/1', { method: 'POST', body: 'x' });
+        told.set(id, answer.kind === 'whole' ? answer.status : undefined);
+        await pause(300);
+      }
+      connection.close();
+      assert.ok(runs.length > 0, 'no request runs');
+      assert.equal(new Set(runs).size, runs.length);
+      for (const id of runs) assert.notEqual(told.get(id), 503, `${id} has run`);
+    });
+
 // Guards against a connection that stays one answer behind: each later request on it got the answer before its own.
 test('a connection on which the answer to another request came is not used again', async () => {
   let isLate = false;
