gateway: a stream that ends within an event has been broken off on all routes

Resumable streams were checked already. Two of the four new tests of answerBytes.test.ts failed before.

--- a/packages/gateway/src/eventSplitter.ts
+++ b/packages/gateway/src/eventSplitter.ts
@@ -3,6 +3,7 @@
 
 /** An event ends with an empty line. */
 const eventTerminators = [Buffer.from('\n\n'), Buffer.from('\r\n\r\n')];
+const maxTerminatorBytes = 4;
 const lineEnd = /\r?\n/;
 const betweenEvents = /(?:\r?\n){2}/;
 
@@ -54,6 +55,17 @@
   }
 }
 
+/** The end of a stream, as much of it as `isBetweenEvents` needs, after `bytes` have been added. */
+export function lastBytes(tail: Uint8Array, bytes: Uint8Array): Buffer {
+  return Buffer.concat([tail, bytes.subarray(-maxTerminatorBytes)]).subarray(-maxTerminatorBytes);
+}
+
+/** Whether a stream with this end stops between two events; it does if it is empty. */
+export function isBetweenEvents(tail: Buffer): boolean {
+  const text = tail.toString('latin1');
+  return text === '' || eventTerminators.some((terminator) => text.endsWith(terminator.toString()));
+}
+
 /** Offset at which the last `terminator` ends; 0 if there is none. */
 function endOfLastTerminator(bytes: Buffer, terminator: Buffer): number {
   const start = bytes.lastIndexOf(terminator);
--- a/packages/gateway/src/responseAssembler.ts
+++ b/packages/gateway/src/responseAssembler.ts
@@ -11,7 +11,7 @@
 import type { ResponseHead } from '@catkinwheel/protocol';
 import type { Clock } from '@catkinwheel/state';
 import type { CallerResponse } from './callerResponse.js';
-import { EventSplitter, type Events } from './eventSplitter.js';
+import { EventSplitter, isBetweenEvents, lastBytes, type Events } from './eventSplitter.js';
 
 /** Number of buffered pieces that are joined into one, since a piece of a few bytes has a large memory overhead. */
 const maxBufferedPieces = 64;
@@ -67,7 +67,7 @@
         return this.#bufferedRun(head);
       case 'streaming':
         if (!isEventStream(head)) return this.#bufferedRun(head);
-        return route.canResume ? this.#eventStreamRun(head) : this.#unbufferedRun(head);
+        return route.canResume ? this.#eventStreamRun(head) : this.#unresumableRun(head);
     }
   }
 
@@ -115,6 +115,22 @@
     };
   }
 
+  /** An event stream that no other run can continue: it is forwarded as it arrives, and broken off if it ends in an event. */
+  #unresumableRun(head: ResponseHead): RunResponse {
+    const unbuffered = this.#unbufferedRun(head);
+    let tail: Buffer = Buffer.alloc(0);
+    return {
+      take: (bytes) => {
+        tail = lastBytes(tail, bytes);
+        return unbuffered.take(bytes);
+      },
+      end: () =>
+        isBetweenEvents(tail)
+          ? unbuffered.end()
+          : { kind: 'unusable', detail: 'the end within an event' },
+    };
+  }
+
   /** An event stream that is forwarded in complete events. */
   #eventStreamRun(runHead: ResponseHead): RunResponse {
     const { response } = this;
--- a/packages/standins/src/stack/answerBytes.test.ts
+++ b/packages/standins/src/stack/answerBytes.test.ts
@@ -863,6 +863,23 @@
       for (const id of runs) assert.notEqual(told.get(id), 503, `${id} has run`);
     });
 
+// Guards against ORDER: a stream that no server can continue looks complete although its last event is not.
+for (const [name, body, kind] of [
+  ['within an event', `${eventsFrom(1, 3)}id: 4\nda`, 'broken'],
+  ['within the empty line behind an event', eventsFrom(1, 3).slice(0, -1), 'broken'],
+  ['between events', eventsFrom(1, 3), 'whole'],
+  ['between events whose lines end with CR LF', 'id: 1\r\ndata: 1\r\n\r\n', 'whole'],
+] as const)
+  test(`a stream that cannot be resumed and ends ${name} is ${kind}`, async () => {
+    await start(names.model, (request) => {
+      request.socket.write(headOf(request, stream));
+      for (const piece of body.match(/.{1,7}/gs) ?? []) request.socket.write(chunk(piece));
+      request.socket.write('0\r\n\r\n');
+    });
+    const answer = await askOnce('/drafts/1', letter);
+    assert.equal(answer.kind, kind, brief(answer));
+  });
+
 // Guards against a connection that stays one answer behind: each later request on it got the answer before its own.
 test('a connection on which the answer to another request came is not used again', async () => {
   let isLate = false;
--- a/packages/standins/src/stack/fleet.ts
+++ b/packages/standins/src/stack/fleet.ts
@@ -42,6 +42,14 @@
         streamResume: true,
         gapAimMs: 200,
       },
+      {
+        ...route,
+        name: 'drafts',
+        prefix: '/drafts/',
+        routeType: 'streaming',
+        service: names.model,
+        gapAimMs: 200,
+      },
       { ...route, name: 'reads', prefix: '/reads/', routeType: 'idempotent', service: names.desk },
       {
         ...route,
