routing: merge crash reports in one pass and keep their confirmation

The ends are worked out once for a set of reports instead of for each datagram that is sent, and a report that was relayed late does not take the confirmation of a newer one away. Routers no longer tell one another of the departure of an instance that has been replaced.

--- a/packages/coordination/src/routing/crashReports.ts
+++ b/packages/coordination/src/routing/crashReports.ts
@@ -50,6 +50,8 @@
 export class CrashReports {
   /** In the order of arrival. */
   #reports: ReadonlyMap<string, KnownReport> = new Map();
+  /** The ends by these reports; undefined until they are needed. */
+  #ends: readonly CrashEnd[] | undefined;
 
   private constructor(
     private readonly clock: Clock,
@@ -92,7 +94,7 @@
     if (known === undefined || known.isConfirmed || known.at >= sentAt) return;
     const reports = new Map(this.#reports);
     reports.delete(keyOf(known));
-    this.#reports = reports;
+    this.#replace(reports);
   }
 
   /** Instances to which this router has lost connections and of which it is not known whether they have ended. */
@@ -110,7 +112,8 @@
       known === undefined ||
       (report.isConfirmed && !known.isConfirmed) ||
       requestsOf(report) > requestsOf(known);
-    if (isNews) this.#put(report);
+    const isConfirmed = report.isConfirmed || known?.isConfirmed === true;
+    if (isNews) this.#put({ ...report, isConfirmed });
     return isNews;
   }
 
@@ -125,30 +128,14 @@
 
   /** Confirmed ends of instances, the earliest first. */
   ends(): readonly CrashEnd[] {
-    const byInstance = new Map<string, KnownReport[]>();
-    for (const report of this.#reports.values()) {
-      const key = instanceKey(report.server);
-      byInstance.set(key, [...(byInstance.get(key) ?? []), report]);
-    }
-    return [...byInstance.values()]
-      .flatMap((reports) => {
-        const confirmed = reports.filter(({ isConfirmed }) => isConfirmed);
-        const noticed = Math.min(...confirmed.map(({ at }) => at));
-        const related = reports.filter(({ at }) => at >= noticed - maxNoticeTime);
-        if (confirmed.length === 0) return [];
-        const parts = related.flatMap((report) => report.parts).reduce(addPart, []);
-        // A router that lost no request notices the end later than those that did.
-        const withLoss = related.filter((report) => report.parts.length > 0);
-        const at = Math.min(noticed, ...withLoss.map((each) => each.at));
-        return [{ at, parts: new Map(parts.map((part) => [part.id, part])) }];
-      })
-      .sort((a, b) => a.at - b.at);
+    this.#ends ??= endsOf([...this.#reports.values()]);
+    return this.#ends;
   }
 
   expire(): void {
     const oldest = this.clock.now() - evidenceLifetime;
     if (![...this.#reports.values()].some(({ at }) => at < oldest)) return;
-    this.#reports = new Map([...this.#reports].filter(([, { at }]) => at >= oldest));
+    this.#replace(new Map([...this.#reports].filter(([, { at }]) => at >= oldest)));
   }
 
   #own(server: ServerInstance): KnownReport | undefined {
@@ -160,8 +147,40 @@
     const key = keyOf(report);
     reports.delete(key);
     reports.set(key, { ...report, changedAt: this.clock.now() });
-    this.#reports = new Map([...reports].slice(-maxReports));
+    this.#replace(new Map([...reports].slice(-maxReports)));
+  }
+
+  #replace(reports: ReadonlyMap<string, KnownReport>): void {
+    this.#reports = reports;
+    this.#ends = undefined;
+  }
+}
+
+function endsOf(reports: readonly CrashReport[]): readonly CrashEnd[] {
+  const byInstance = new Map<string, CrashReport[]>();
+  for (const report of reports) {
+    const key = instanceKey(report.server);
+    const known = byInstance.get(key);
+    if (known === undefined) byInstance.set(key, [report]);
+    else known.push(report);
+  }
+  return [...byInstance.values()].flatMap(endOf).sort((a, b) => a.at - b.at);
+}
+
+/** The end of one instance; none if it is not confirmed. */
+function endOf(reports: readonly CrashReport[]): readonly CrashEnd[] {
+  const confirmed = reports.filter(({ isConfirmed }) => isConfirmed);
+  if (confirmed.length === 0) return [];
+  const noticed = Math.min(...confirmed.map(({ at }) => at));
+  const related = reports.filter(({ at }) => at >= noticed - maxNoticeTime);
+  const parts = new Map<string, ImplicatedPart>();
+  for (const part of related.flatMap((report) => report.parts)) {
+    const requests = (parts.get(part.id)?.requests ?? 0) + part.requests;
+    parts.set(part.id, { ...part, requests });
   }
+  // A router that lost no request notices the end later than those that did.
+  const withLoss = related.filter((report) => report.parts.length > 0);
+  return [{ at: Math.min(noticed, ...withLoss.map(({ at }) => at)), parts }];
 }
 
 function addPart(
--- a/packages/coordination/src/routing/serverTable.ts
+++ b/packages/coordination/src/routing/serverTable.ts
@@ -77,7 +77,9 @@
 
   /** Registered instances that are known to leave from responses, the latest first. */
   announcedLeaving(): readonly ServerInstance[] {
-    return this.#departures.announced().filter(({ id }) => this.#servers.has(id));
+    return this.#departures
+      .announced()
+      .filter(({ id, born }) => this.#servers.has(id) && this.#servers.get(id)?.born === born);
   }
 
   /** Treats the server as cold for at least `duration`. */
--- a/packages/standins/src/stack/soak.ts
+++ b/packages/standins/src/stack/soak.ts
@@ -295,6 +295,7 @@
     await this.#addServer(service);
     this.#register(backend, { state: 'draining', sequence: 2 });
     backend.isLeaving = true;
+    server.isLeaving = true;
     const since = performance.now();
     await pause(drainedWithin);
     const nodes = new Set(this.#calmNodes(since));
