routing: do not take over a block that is about to end

Found by reading: a message takes some time, so each takeover of a block ends a little later than the block that it copies, and routers that tell one another would keep the last moments of a block alive without end. Its test fails without the bound.

--- a/packages/coordination/src/routing/poisonParts.test.ts
+++ b/packages/coordination/src/routing/poisonParts.test.ts
@@ -136,3 +136,23 @@
     [0],
   );
 });
+
+// Guards against a block that never ends: a message takes some time, so each takeover would end a little later.
+test('a block is not taken over and over by routers that tell one another of it', async () => {
+  const clock = Clock.manual(10_000);
+  const routers = [PoisonParts.create(clock), PoisonParts.create(clock)] as const;
+  routers[0].adopt(['dead', 5_000]);
+  let messages: readonly (readonly [string, number])[][] = [[], []];
+  for (let round = 0; round < 3_000; round += 1) {
+    // Each message arrives 10 ms after it was sent.
+    const sent = routers.map((router) => [...router.blocked()]);
+    await clock.advance(10);
+    for (const [index, received] of messages.entries())
+      for (const timed of received) routers[index === 0 ? 1 : 0].adopt(timed);
+    messages = sent;
+  }
+  assert.deepEqual(
+    routers.map((router) => router.blockedFor(['dead'])),
+    [0, 0],
+  );
+});
--- a/packages/coordination/src/routing/poisonParts.ts
+++ b/packages/coordination/src/routing/poisonParts.ts
@@ -29,6 +29,8 @@
 const blockGrowth = 3;
 /** Time after the end of a block for which it is remembered. */
 const blockMemory: Milliseconds = 3_600_000;
+/** A block that ends sooner is not taken over: routers would pass its last moments on to one another without end. */
+const minAdoptedTime: Milliseconds = 2_000;
 /** Max parts for which the last proof is remembered; the one that was proven longest ago is forgotten first. */
 const maxProofs = 20_000;
 
@@ -94,7 +96,7 @@
 
   /** Takes over the block of another router, unless this router has seen a request with the part answered. */
   adopt([part, remaining]: TimedPart): boolean {
-    if (remaining <= 0 || this.#proofs.has(part) || this.#isBlocked(part)) return false;
+    if (remaining < minAdoptedTime || this.#proofs.has(part) || this.#isBlocked(part)) return false;
     const now = this.clock.now();
     this.#blocks.set(part, { at: now, until: now + remaining });
     return true;
