--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,1 +1,3 @@
 export * from './gateway.js';
+export { Log } from './log.js';
+export { Tunnels, type Endpoint } from './tunnels.js';
