gateway: a stopping router takes only requests that it can answer before its end

Cause: for 3 s after SIGTERM requests were taken whatever they take and whatever the grace time is, and what was unfinished 0.7 s before SIGKILL was cut without an answer (LOST); with 1 s of grace the router did not end in time by itself. Change: the time of the end is known to each request, also that of a router which holds its connection. Admission refuses at once, as not run, what cannot be complete by then: by its deadline, or by the learned time of such responses (mean and four deviations, RFC 6298). Waiting requests are judged anew when a stop becomes known; what is still open at the end gets an error response instead of a closed connection, and kept connections are closed by their next response.

--- a/packages/coordination/src/routing/admission.test.ts
+++ b/packages/coordination/src/routing/admission.test.ts
@@ -26,6 +26,8 @@
     targetTime: now + 800,
     firstEventDeadline: now + 4_000,
     deadline: now + 12_000,
+    stopsAt: Infinity,
+    duration: undefined,
     cost: 1_000,
     ...changes,
   };
@@ -142,6 +144,40 @@
     assert.ok(result.kind === 'refused' && result.retryAfter >= 300 && result.retryAfter <= 4_000);
 });
 
+// Guards against LOST in a planned stop: what cannot be answered before the end is refused before a server gets it.
+test('a request that cannot be answered before its router ends is refused at once, one that can is placed', async () => {
+  const { clock, capacity, admission } = setUp();
+  capacity.free = 10;
+  const duration = { expected: 1_000, atMost: 1_800 };
+  const stopsAt = clock.now() + 2_000;
+  const known = await admission.admit(job(clock, { duration, stopsAt }), never);
+  assert.equal(known.kind, 'server');
+  const bounded = await admission.admit(job(clock, { deadline: stopsAt, stopsAt }), never);
+  assert.equal(bounded.kind, 'server');
+  const unknown = await admission.admit(job(clock, { stopsAt }), never);
+  assert.ok(unknown.kind === 'refused' && unknown.reason === 'stopping');
+  await clock.advance(300);
+  const late = await admission.admit(job(clock, { duration, stopsAt }), never);
+  assert.ok(late.kind === 'refused' && late.reason === 'stopping');
+  assert.equal(capacity.served.length, 2);
+});
+
+// Guards against requests that wait in the queue of a stopping router until it ends.
+test('a queued request is refused when it can no longer be answered before its router ends', async () => {
+  const { clock, capacity, admission } = setUp();
+  const duration = { expected: 1_000, atMost: 1_800 };
+  const waiting = admission.admit(job(clock, { duration, stopsAt: clock.now() + 2_500 }), never);
+  await clock.advance(600);
+  admission.placeQueued();
+  assert.equal(admission.length, 1);
+  await clock.advance(200);
+  capacity.free = 1;
+  admission.placeQueued();
+  const result = await waiting;
+  assert.ok(result.kind === 'refused' && result.reason === 'stopping');
+  assert.equal(capacity.served.length, 0);
+});
+
 test('the request of a caller that leaves is removed from the queue', async () => {
   const { clock, admission } = setUp();
   const leaving = new AbortController();
--- a/packages/coordination/src/routing/admission.ts
+++ b/packages/coordination/src/routing/admission.ts
@@ -6,6 +6,7 @@
 import type { Clock, Milliseconds } from '@catkinwheel/state';
 import { noLoad, sumLoads, type Load, type LoadMap } from './loads.js';
 import type { Placement } from './placement.js';
+import type { ResponseDuration } from './responseTimes.js';
 import type { WorkTimer } from './workTimer.js';
 
 /** A request to be admitted. */
@@ -22,6 +23,10 @@
   readonly firstEventDeadline: Milliseconds;
   /** Time after which the response is useless. */
   readonly deadline: Milliseconds;
+  /** Time by which the response has to be complete since its connection ends; infinite unless a planned stop is known. */
+  readonly stopsAt: Milliseconds;
+  /** Time that the response takes; undefined if none of its service was seen. */
+  readonly duration: ResponseDuration | undefined;
   /** Size in tokens, prompt and output together. 1 for requests to plain services. */
   readonly cost: number;
 }
@@ -50,7 +55,7 @@
 }
 
 /** Why a job is refused. */
-export type RefusalReason = 'noServer' | 'overload' | 'deadline' | 'blockedPart';
+export type RefusalReason = 'noServer' | 'overload' | 'deadline' | 'blockedPart' | 'stopping';
 
 /** A snapshot of the servers. It reflects the jobs that are placed through it. */
 export interface ServerSnapshot {
@@ -199,6 +204,11 @@
   #placeJob(queued: QueuedJob, snapshot: ServerSnapshot, ahead: Map<string, Load>): void {
     const { job } = queued;
     const now = this.clock.now();
+    // Asked before a place is taken: placing a request counts it at its server.
+    if (now > latestStoppingStart(job)) {
+      this.#settle(queued, refusal('stopping', 0));
+      return;
+    }
     const placement = snapshot.place(job, ahead);
     const hasServer = placement.kind === 'server' || placement.kind === 'wait';
     queued.lastPlacement = hasServer ? placement : undefined;
@@ -286,6 +296,15 @@
   );
 }
 
+/**
+ * Latest time at which a server may begin the response, so that it is complete before its connection ends. A request of which
+ * it is not known how long it takes may take until its deadline.
+ */
+function latestStoppingStart({ deadline, stopsAt, duration }: Job): Milliseconds {
+  if (deadline <= stopsAt) return Infinity;
+  return duration === undefined ? -Infinity : stopsAt - duration.atMost;
+}
+
 function refusal(
   reason: RefusalReason,
   wait: Milliseconds,
--- a/packages/coordination/src/routing/dispatcher.ts
+++ b/packages/coordination/src/routing/dispatcher.ts
@@ -20,6 +20,7 @@
 import type { ServerInstance } from './departures.js';
 import type { Prompt, Route, Server, Service, Team } from './model.js';
 import { chooseServer, type Candidate, type Placement, type Timing } from './placement.js';
+import { ResponseTimes, type ResponseDuration } from './responseTimes.js';
 import { RetryBudget, type RetryBound } from './retryBudget.js';
 import { Reports, type Report, type Reporter } from './reports.js';
 import { PrefixCacheIndex, type CachedPart } from './prefixCacheIndex.js';
@@ -62,6 +63,8 @@
   readonly prompt: Prompt | undefined;
   readonly arrived: Milliseconds;
   readonly deadline: Milliseconds;
+  /** Time by which the response has to be complete since its connection ends; left out if none is known. */
+  readonly stopsAt?: Milliseconds;
   /** Servers that have already failed the request. */
   readonly avoid: ReadonlySet<string>;
 }
@@ -121,6 +124,8 @@
   readonly #teamUsage: TeamUsage;
   readonly #admission: Admission;
   readonly #engineTimings = new Map<string, EngineTiming>();
+  /** By service. */
+  readonly #responseTimes = new Map<string, ResponseTimes>();
   /** By service; cleared whenever the set of servers changes. */
   readonly #prefixHomes = new Map<string, PrefixHomes>();
   readonly #requests = new WeakMap<Job, Request>();
@@ -224,6 +229,8 @@
       targetTime: request.arrived + request.route.aim,
       firstEventDeadline: request.arrived + request.route.patience,
       deadline: request.deadline,
+      stopsAt: request.stopsAt ?? Infinity,
+      duration: this.#durationOf(request),
       cost: requestCost(request.prompt),
     };
     this.#requests.set(job, request);
@@ -380,7 +387,7 @@
       ];
     const run = this.#poisonGuard.begin(server, request.prompt, () => this.#isLeaving(server));
     const sent = clock.now();
-    let isStarted = false;
+    let startedAt: Milliseconds | undefined;
     let isFinished = false;
     this.#grants.set(job, {
       kind: 'server',
@@ -388,8 +395,8 @@
       predicted: placement.predicted,
       missing,
       started: () => {
-        if (isStarted) return;
-        isStarted = true;
+        if (startedAt !== undefined) return;
+        startedAt = clock.now();
         inFlight.started();
         // With a backlog before it, the time depends mostly on the backlog, which this router knows only in part.
         if (service.engine !== undefined && unreadBefore < maxLearningBacklog) {
@@ -404,7 +411,9 @@
       finish: (result) => {
         run.finished(result);
         inFlight.finish();
-        if (!isFinished && !isStarted) charge.refund();
+        if (!isFinished && startedAt === undefined) charge.refund();
+        if (!isFinished && result === 'answered')
+          this.#learnDuration(request, placement.predicted, sent, startedAt ?? clock.now());
         isFinished = true;
         if (result !== undefined) this.#recordOutcome(server, service, result);
         this.#admission.placeQueued();
@@ -412,6 +421,27 @@
     });
   }
 
+  /** Time that the response to the request takes; undefined if none of its service was seen. */
+  #durationOf({ service, prompt }: Request): ResponseDuration | undefined {
+    return this.#responseTimes.get(service)?.durationOf(prompt?.outputLimit);
+  }
+
+  #learnDuration(
+    { service, prompt }: Request,
+    predicted: Milliseconds,
+    sentAt: Milliseconds,
+    startedAt: Milliseconds,
+  ): void {
+    const known = this.#responseTimes.get(service) ?? ResponseTimes.unknown;
+    const now = this.options.clock.now();
+    const lateness = startedAt - sentAt - predicted;
+    const times =
+      prompt === undefined
+        ? known.observeWhole(now - sentAt)
+        : known.observeStream(now - startedAt, prompt.outputLimit, lateness);
+    this.#responseTimes.set(service, times);
+  }
+
   #recordOutcome(server: KnownServer, service: Service, outcome: ServerOutcome): void {
     const change = this.serverHealth.record(server.id, outcome);
     // It may have been unreachable because of a restart that its registration does not show yet.
--- a/packages/coordination/src/routing/index.ts
+++ b/packages/coordination/src/routing/index.ts
@@ -20,6 +20,8 @@
 export * from './model.js';
 export * from './acceptQueue.js';
 export * from './placement.js';
+export * from './plannedStops.js';
+export * from './responseTimes.js';
 export * from './retryBudget.js';
 export * from './reports.js';
 export * from './prefixCacheIndex.js';
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -4,7 +4,7 @@
 import { isMisdirected } from '@catkinwheel/platform';
 
 /** Why this router ended an attempt. */
-export type AbortCause = 'callerGone' | 'deadline' | 'silence';
+export type AbortCause = 'callerGone' | 'deadline' | 'silence' | 'stopping';
 
 /**
  * How one attempt at a server ended. `isDisconnected`: the server ended the connection, or something between did, before
--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -28,8 +28,6 @@
   readonly isActive: () => boolean;
   /** The router to hand a new connection over to; undefined if this one serves it. */
   readonly selectTarget: () => Endpoint | undefined;
-  /** Whether the router with this address, which handed a connection over, is stopping. */
-  readonly isStopping: (ip: string) => boolean;
 }
 
 /** Accepts callers' connections and serves each request with a `RequestHandler`. */
@@ -55,7 +53,6 @@
     private readonly dependencies: RequestDependencies,
     private readonly capacity: number,
     private readonly handover: Handover,
-    private readonly isStopping: () => boolean,
   ) {
     this.#lastFinishedAt = dependencies.clock.now();
     this.#server = createServer(
@@ -78,13 +75,8 @@
   }
 
   /** `capacity` is the speed of the VM, in cores. */
-  static create(
-    dependencies: RequestDependencies,
-    capacity: number,
-    handover: Handover,
-    isStopping: () => boolean,
-  ): Frontend {
-    return new Frontend(dependencies, capacity, handover, isStopping);
+  static create(dependencies: RequestDependencies, capacity: number, handover: Handover): Frontend {
+    return new Frontend(dependencies, capacity, handover);
   }
 
   /** Listens for callers at `callers`, and for handed-over connections at `own`. Rejects if one is in use. */
@@ -128,7 +120,8 @@
 
   /** Hands the connection over to another router if one is to serve it; returns whether it did. */
   #handOver(socket: Socket): boolean {
-    const target = this.isStopping() ? undefined : this.handover.selectTarget();
+    const { isStopping } = this.dependencies.stops;
+    const target = isStopping ? undefined : this.handover.selectTarget();
     if (target === undefined || this.#handoverEndpoint === undefined) return false;
     void this.handover.tunnels.open(socket, target, this.#handoverEndpoint);
     return true;
@@ -136,9 +129,14 @@
 
   /** Whether the response closes the connection, so that the caller opens a new one for its next request. */
   #closesConnection(socket: Socket): boolean {
-    if (this.isStopping()) return true;
-    if (this.#acceptedHere.has(socket)) return this.handover.isActive();
-    return this.handover.isStopping(socket.remoteAddress ?? '');
+    const { stops } = this.dependencies;
+    if (stops.closesConnections(this.#viaOf(socket))) return true;
+    return this.#acceptedHere.has(socket) && this.handover.isActive();
+  }
+
+  /** IP address of the router that handed the connection over; undefined if the caller connected to this one. */
+  #viaOf(socket: Socket): string | undefined {
+    return this.#acceptedHere.has(socket) ? undefined : socket.remoteAddress;
   }
 
   #serve(request: IncomingMessage, response: ServerResponse): void {
@@ -175,8 +173,7 @@
     const known = this.#connectionInfos.get(socket);
     if (known === undefined) this.#connectionCount += 1;
     const { number = this.#connectionCount, requests = 0 } = known ?? {};
-    const via = this.#acceptedHere.has(socket) ? undefined : socket.remoteAddress;
-    const info = { number, requests: requests + 1, via };
+    const info = { number, requests: requests + 1, via: this.#viaOf(socket) };
     this.#connectionInfos.set(socket, info);
     return info;
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -4,6 +4,7 @@
 import {
   Dispatcher,
   Members,
+  PlannedStops,
   WorkTimer,
   selectEntryRouters,
   shouldHandOver,
@@ -42,12 +43,12 @@
 const queueTickInterval: Milliseconds = 10;
 /** Time to live of a directory response at callers; short, since routers stop and start. */
 const directoryTtl: Milliseconds = 3_000;
-/** Time after SIGTERM in which new requests are still served, until callers have seen that this router is not ready. */
-const lameDuckDuration: Milliseconds = 3_000;
 /** A stopping router exits after this time without requests. */
 const quietPeriod: Milliseconds = 700;
-/** A stopping router exits this long before SIGKILL in any case. */
-const exitMargin: Milliseconds = 700;
+/** Longest time that a stopping router waits at its end for the last responses to be sent, and for its registration to be removed. */
+const maxFinalWait: Milliseconds = 200;
+/** The same as a fraction of the time that is left until SIGKILL. */
+const finalWaitFraction = 1 / 4;
 /** Interval of the periodic log lines about the load; an overloaded router stays so for several seconds. */
 const loadLogInterval: Milliseconds = 2_000;
 /** Port of the metrics listener, relative to the first port for traffic between routers. */
@@ -81,7 +82,7 @@
   readonly #cpuUsage: CpuUsage;
   readonly #eventLoopLag: EventLoopLag;
   readonly #workTimer: WorkTimer;
-  #stoppingSince: Milliseconds | undefined;
+  readonly #stops: PlannedStops;
   /** Whether new connections are handed over to other routers. */
   #isHandingOver = false;
   /** Event-loop times at the last log line about the load. */
@@ -107,6 +108,8 @@
     const storeReplica = StoreReplica.create(clock, dispatcher, log);
     const store = StoreClient.create(settings.store);
     this.#log = log;
+    const stops = PlannedStops.create(clock, settings.bounds.grace);
+    this.#stops = stops;
     this.#cpuUsage = CpuUsage.create(clock, capacity);
     this.#workTimer = work;
     this.#eventLoopLag = EventLoopLag.create(clock, (isBehind, late) => {
@@ -147,7 +150,7 @@
       dispatcher,
       storeReplica,
       log,
-      isLeaving: () => this.#stoppingSince !== undefined,
+      stops,
       storeAge: () => this.#storeReader.age(),
       used: () => this.#cpuUsage.usedCores(),
       onNewerVersions: (peer) => {
@@ -162,7 +165,7 @@
         connections: this.#connections,
         log,
         metrics,
-        isClosing: () => this.#isClosing(),
+        stops,
         isBehind: () => this.#eventLoopLag.isBehind,
         late: () => this.#eventLoopLag.late,
         random: Math.random,
@@ -172,9 +175,7 @@
         tunnels: this.#tunnels,
         isActive: () => this.#isHandingOver,
         selectTarget: () => this.#handoverTarget(),
-        isStopping: (ip) => members.alive().some((member) => member.ip === ip && member.isLeaving),
       },
-      () => this.#stoppingSince !== undefined,
     );
   }
 
@@ -186,28 +187,35 @@
   }
 
   /**
-   * Stops gracefully: reports itself as not ready at once, serves new requests while callers may not have seen
-   * that, refuses them afterwards, and resolves when no request is in flight or the grace time is over.
+   * Stops gracefully: reports itself as not ready at once, serves new requests that can be answered before its end while callers
+   * may not have seen that, refuses the others, and resolves when no request is in flight or the grace time is nearly over. By
+   * then each request has got a response, unless its caller already has a part of one.
    */
   async stop(): Promise<void> {
-    if (this.#stoppingSince !== undefined) return;
+    const stops = this.#stops;
+    if (stops.isStopping) return;
     const clock = this.#clock;
-    const { grace } = this.settings.bounds;
-    this.#stoppingSince = clock.now();
+    const killedAt = clock.now() + this.settings.bounds.grace;
+    stops.begin();
     this.#log.write('stopping', { underWay: this.#frontend.underWay });
     this.#gossip.send(true);
     const removed = this.#registration.remove();
-    const deadline = this.#stoppingSince + grace - exitMargin;
-    while (clock.now() < deadline) {
-      if (this.#isClosing() && this.#frontend.idleTime() >= quietPeriod) break;
+    while (clock.now() < stops.endOf(undefined)) {
+      const isQuiet = this.#frontend.idleTime() >= quietPeriod;
+      if (!stops.takesRequests(undefined) && isQuiet) break;
       await clock.sleep(tickInterval);
     }
+    const finalWait = Math.min(maxFinalWait, (killedAt - clock.now()) * finalWaitFraction);
+    const waitedUntil = clock.now() + finalWait;
+    while (this.#frontend.underWay > 0 && clock.now() < waitedUntil)
+      await clock.sleep(finalWait / 10);
+    const cut = this.#frontend.underWay;
     this.#frontend.close();
-    await Promise.race([removed, clock.sleep(exitMargin / 2)]);
+    await Promise.race([removed, clock.sleep(finalWait)]);
     this.#stopped.abort();
     for (const server of this.#httpServers) server.close();
     this.#connections.retireExcept(new Set());
-    this.#log.write('stopped', { cut: this.#frontend.underWay });
+    this.#log.write('stopped', { cut });
   }
 
   /** Logs that the settings file was read again and is valid; its settings take effect at the next start. */
@@ -328,7 +336,7 @@
     const [, port] = hostAndPort(own.callers);
     const self = { name: router, ip, dataCentre, capacity, used: this.#cpuUsage.usedCores() };
     const others = this.#members.alive().filter(({ isLeaving }) => !isLeaving);
-    const all = this.#stoppingSince === undefined ? [self, ...others] : others;
+    const all = this.#stops.isStopping ? others : [self, ...others];
     const inRegion = all.filter((member) => regionOf[member.dataCentre] === region);
     const chosen = selectEntryRouters(inRegion.length > 0 ? inRegion : all).slice(
       0,
@@ -380,15 +388,7 @@
   }
 
   #isReady(): boolean {
-    return this.#stoppingSince === undefined && this.#dispatcher.table !== undefined;
-  }
-
-  /** Whether new requests are refused because this router stops. */
-  #isClosing(): boolean {
-    return (
-      this.#stoppingSince !== undefined &&
-      this.#clock.now() - this.#stoppingSince > lameDuckDuration
-    );
+    return !this.#stops.isStopping && this.#dispatcher.table !== undefined;
   }
 
   #onTableChange(): void {
--- a/packages/gateway/src/gossip.ts
+++ b/packages/gateway/src/gossip.ts
@@ -13,6 +13,7 @@
   type Load,
   type Member,
   type Members,
+  type PlannedStops,
   type GossipTopology,
   type Report,
   type Reporter,
@@ -109,7 +110,7 @@
       readonly dispatcher: Dispatcher;
       readonly storeReplica: StoreReplica;
       readonly log: Log;
-      readonly isLeaving: () => boolean;
+      readonly stops: PlannedStops;
       readonly storeAge: () => Milliseconds;
       /** Cores in use. */
       readonly used: () => number;
@@ -209,8 +210,8 @@
   }
 
   #findTopology(): GossipTopology {
-    const { members, router, dataCentre, isLeaving, capacity } = this.options;
-    const self = { name: router, dataCentre, isLeaving: isLeaving(), capacity };
+    const { members, router, dataCentre, stops, capacity } = this.options;
+    const self = { name: router, dataCentre, isLeaving: stops.isStopping, capacity };
     return gossipTopologyOf(self, members.alive(), members.names().length);
   }
 
@@ -230,12 +231,12 @@
 
   #message(report: Report, otherMembers: Message['members']): Message {
     const { router, ip, dataCentre, capacity, used } = this.options;
-    const { storeReplica, isLeaving, storeAge } = this.options;
+    const { storeReplica, stops, storeAge } = this.options;
     return {
       router,
       ip,
       dataCentre,
-      isLeaving: isLeaving(),
+      isLeaving: stops.isStopping,
       capacity,
       used: Number(used().toFixed(3)),
       members: otherMembers,
@@ -318,8 +319,10 @@
 
   /** Records that this router or another one received a heartbeat of the member `age` ago. */
   #recordHeartbeat(member: Member, age: Milliseconds): void {
-    const { members, storeReplica, log } = this.options;
-    const { name, ip, storeAge } = member;
+    const { members, storeReplica, stops, log } = this.options;
+    const { name, ip, storeAge, isLeaving } = member;
+    // A datagram may come after a later one.
+    if (members.heartbeatAge(name) > age) stops.recordHeartbeat(ip, isLeaving, age);
     if (members.recordHeartbeat(member, age)) log.write('router heard', { peer: name, ip });
     if (Number.isFinite(storeAge)) storeReplica.recordContact(storeAge + age);
   }
--- a/packages/gateway/src/requestHandler.ts
+++ b/packages/gateway/src/requestHandler.ts
@@ -9,7 +9,10 @@
   type OverloadBasis,
   type Dispatcher,
   type Grant,
+  type PlannedStops,
   type Prompt,
+  type Rejection,
+  type Request,
   type Route,
   type Team,
 } from '@catkinwheel/coordination/routing';
@@ -75,8 +78,7 @@
   readonly connections: ServerConnections;
   readonly log: Log;
   readonly metrics: Metrics;
-  /** Whether new requests are refused because this router stops. */
-  readonly isClosing: () => boolean;
+  readonly stops: PlannedStops;
   /** Whether new requests are refused because the event loop has not caught up with earlier ones. */
   readonly isBehind: () => boolean;
   /** Event-loop lag of this router. */
@@ -116,6 +118,10 @@
   readonly #abortController = new AbortController();
   readonly #attemptLog: AttemptLogEntry[] = [];
   #deadlineTimer: NodeJS.Timeout | undefined;
+  /** Ends the request before its connection does. */
+  #stopTimer: NodeJS.Timeout | undefined;
+  /** Aborts a wait for a server. */
+  #waitController = new AbortController();
   #firstByte: Milliseconds | undefined;
   #acceptWait: Milliseconds | undefined;
   #route: Route | undefined;
@@ -164,6 +170,10 @@
     response.on('close', onClose);
     // A pipelined response that is queued behind an earlier one gets no event when its connection closes.
     socket.on('close', onClose);
+    const unsubscribe = this.dependencies.stops.onChange(() => {
+      this.#onPlannedStop();
+    });
+    this.#onPlannedStop();
     try {
       await this.#serve();
     } catch (error) {
@@ -175,12 +185,14 @@
       this.#fail('internal', 'mayHaveRun');
     } finally {
       socket.off('close', onClose);
+      unsubscribe();
       clearTimeout(this.#deadlineTimer);
+      clearTimeout(this.#stopTimer);
     }
   }
 
   async #serve(): Promise<void> {
-    const { dispatcher, isClosing, isBehind } = this.dependencies;
+    const { dispatcher, stops, isBehind } = this.dependencies;
     const { table } = dispatcher;
     const body = await readBody(this.request, table?.state.limits.body ?? Infinity);
     if (body === 'gone') {
@@ -191,7 +203,7 @@
       this.#reject(statuses.tooLarge, 'bodyTooLarge');
       return;
     }
-    if (table === undefined || isClosing()) {
+    if (table === undefined || !stops.takesRequests(this.connection.via)) {
       this.#refuse(table === undefined ? 'noDesiredState' : 'stopping', otherRouterRetryAfter);
       return;
     }
@@ -216,6 +228,42 @@
     await this.#tryServers(route, body);
   }
 
+  /**
+   * This router, or the one that holds the connection, may have to stop: the response closes the connection and is complete, or
+   * replaced by an error, before the connection ends. A request that still waits for a server is judged anew.
+   */
+  #onPlannedStop(): void {
+    const { clock, stops } = this.dependencies;
+    const endsAt = stops.endOf(this.connection.via);
+    if (endsAt === Infinity) return;
+    if (!this.response.headersSent) this.response.setHeader('connection', 'close');
+    clearTimeout(this.#stopTimer);
+    this.#stopTimer = setTimeout(() => {
+      this.#abortController.abort('stopping');
+    }, endsAt - clock.now());
+    this.#waitController.abort();
+  }
+
+  /** Finds a server; asks again if a planned stop becomes known meanwhile. */
+  async #acquire(request: Request): Promise<Grant | Rejection> {
+    const { dispatcher, stops } = this.dependencies;
+    const { signal } = this.#abortController;
+    for (;;) {
+      const wait = new AbortController();
+      this.#waitController = wait;
+      const onAbort = (): void => {
+        wait.abort();
+      };
+      if (signal.aborted) onAbort();
+      else signal.addEventListener('abort', onAbort);
+      const stopsAt = stops.endOf(this.connection.via);
+      const grant = await dispatcher.acquire({ ...request, stopsAt }, wait.signal);
+      signal.removeEventListener('abort', onAbort);
+      const isInterrupted = wait.signal.aborted && !signal.aborted;
+      if (grant.kind === 'server' || !isInterrupted) return grant;
+    }
+  }
+
   async #tryServers(route: Route, body: Buffer): Promise<void> {
     const { dispatcher, metrics, clock } = this.dependencies;
     const deadline =
@@ -230,18 +278,15 @@
     let verdict: Verdict = 'notRun';
     let sentCount = 0;
     for (let tries = 0; tries < maxServerTries; tries += 1) {
-      const grant = await dispatcher.acquire(
-        {
-          route,
-          service,
-          team: this.#team,
-          prompt: this.#head.prompt,
-          arrived: this.#arrivedAt,
-          deadline,
-          avoid,
-        },
-        this.#abortController.signal,
-      );
+      const grant = await this.#acquire({
+        route,
+        service,
+        team: this.#team,
+        prompt: this.#head.prompt,
+        arrived: this.#arrivedAt,
+        deadline,
+        avoid,
+      });
       if (grant.kind === 'refused') {
         this.#basis = grant.basis;
         this.#endWithoutResponse(grant.reason, verdict, grant.retryAfter);
@@ -495,7 +540,9 @@
 
   #reply(status: number, reason: string, headers: Readonly<Record<string, string>> = {}): void {
     // The rest of a body that is too large is not read, so its connection cannot be reused.
-    const closes = this.dependencies.isClosing() || status === statuses.tooLarge;
+    const closes =
+      this.dependencies.stops.closesConnections(this.connection.via) ||
+      status === statuses.tooLarge;
     this.#callerResponse.reply(status, reason, headers, closes);
   }
 
--- a/packages/standins/src/stack/server.ts
+++ b/packages/standins/src/stack/server.ts
@@ -59,6 +59,8 @@
   /** Calls for the list of kept parts. */
   listCalls = 0;
   eventPause = 5;
+  /** Time before a plain answer. */
+  answerPause: Milliseconds = 0;
   /** Prompt part under which the server ends as soon as it begins to write an answer. */
   deadlyPart: string | undefined;
   /** Called when it has ended. */
@@ -164,6 +166,7 @@
       return;
     }
     const exchange = { content: this.#contentOf(id, request), request, response };
+    if (exchange.content.type === 'text/plain') await pause(this.answerPause);
     await this.#answer(behaviour, exchange);
   }
 
--- a/packages/standins/src/stack/soak.ts
+++ b/packages/standins/src/stack/soak.ts
@@ -8,7 +8,7 @@
 import { call } from './caller.js';
 import { desiredStateOf, freePorts, names } from './fleet.js';
 import { RouterProcess } from './routerProcess.js';
-import { StackServer } from './server.js';
+import { StackServer, streamLength } from './server.js';
 import { SoakCallers } from './soakCallers.js';
 import { SoakChecks, timeout, type Backend, type Node } from './soakChecks.js';
 import { SpoiledSeries } from './spoiledSeries.js';
@@ -22,6 +22,8 @@
 const settled: Milliseconds = 4_000;
 /** Time from SIGTERM to SIGKILL. */
 const grace: Milliseconds = 5_000;
+/** Time that responses take during the planned stops at the end. */
+const slowAnswer: Milliseconds = 1_500;
 /** Time between two faults, and duration of a fault, at random within these. */
 const quiet = { least: 100, most: 900 } as const;
 const lasting = { least: 200, most: 3_000 } as const;
@@ -335,15 +337,22 @@
     await Promise.all([...changes, this.#changeState()]);
   }
 
-  /** With nothing else wrong some routers are stopped in turn; no request may be lost by it. */
+  /**
+   * With nothing else wrong some routers are stopped in turn, while responses take a good part of the grace; no request may be
+   * lost by it.
+   */
   async #calmStops(): Promise<void> {
+    for (const { server } of this.#backends) {
+      server.answerPause = slowAnswer;
+      server.eventPause = slowAnswer / streamLength;
+    }
     for (const node of this.#nodes.slice(0, 3)) {
       this.#disturb(node, grace + settled);
       const stopped = new AbortController();
       const sending = Array.from({ length: 6 }, (_, index) =>
         this.#callers.runAt(node, String(index), stopped.signal),
       );
-      await pause(300);
+      await pause(2 * slowAnswer);
       const code = await node.router.stop();
       stopped.abort();
       const lost = (await Promise.all(sending)).flat();
