routing: an end is noticed also when the server's entry goes with it

Cause: an end was confirmed by a refused connection or by a new start under the same id. If the entry is removed as the server ends, nobody is sent there any more, and no part is ever blocked. Change: when the entry of a server is gone to which connections were lost within 5 s, the router looks who is at its address: another registered server, or nobody (the connection is refused). A server that said it leaves, or that was off the list for over a second when connections to it were lost, may have ended as planned and does not count.

--- a/packages/coordination/src/routing/crashReports.ts
+++ b/packages/coordination/src/routing/crashReports.ts
@@ -1,5 +1,7 @@
 // Which requests were at a server when its process ended, as seen by the routers that had sent them. A lost connection alone
-// is no end: the end is confirmed when the server cannot be reached afterwards, or when its registration names a new start. Each router reports what it saw, and every router merges the reports of all.
+// is no end: the end is confirmed when the server cannot be reached afterwards, when its registration names a new start, or when
+// it has no registration and another server or nobody listens at its address. Each router reports what it saw, and every router
+// merges the reports of all.
 
 import type { Clock, Milliseconds } from '@catkinwheel/state';
 import type { ServerInstance } from './departures.js';
@@ -83,9 +85,15 @@
   confirm(server: ServerInstance): void {
     const known = this.#own(server);
     if (known?.isConfirmed === true) return;
-    const isRecent = known !== undefined && this.clock.now() - known.at <= maxNoticeTime;
     const empty = { reporter: this.self, server, at: this.clock.now(), parts: [] };
-    this.#put({ ...(isRecent ? known : empty), isConfirmed: true });
+    const report = known !== undefined && this.isRecent(server) ? known : empty;
+    this.#put({ ...report, isConfirmed: true });
+  }
+
+  /** Whether this router lost a connection to the instance so lately that an end noticed now may be the cause. */
+  isRecent(server: ServerInstance): boolean {
+    const known = this.#own(server);
+    return known !== undefined && this.clock.now() - known.at <= maxNoticeTime;
   }
 
   /** Records that the instance has responded to a request that was sent at `sentAt`: it has not ended before. */
--- a/packages/coordination/src/routing/dispatcher.ts
+++ b/packages/coordination/src/routing/dispatcher.ts
@@ -108,6 +108,8 @@
   readonly onServer?: (server: string, change: HealthChange, failureRate: number) => void;
   /** Called when a prompt part is blocked, since servers end under it, or released. */
   readonly onPart?: (change: PartChange) => void;
+  /** Whether connections to the address are refused; asked of a server that may have ended. */
+  readonly isRefused?: (address: string) => Promise<boolean>;
 }
 
 /** Places the requests of one router. */
@@ -146,9 +148,18 @@
     this.#reports = Reports.create(clock);
     this.#coldStart = ColdStartLimiter.create(clock, options.cold, self, entrances);
     this.#holdOffs = HoldOffs.create(clock);
-    this.#poisonGuard = PoisonGuard.create(clock, self, (change) => {
-      options.onPart?.(change);
-    });
+    this.#poisonGuard = PoisonGuard.create(
+      clock,
+      self,
+      (change) => {
+        options.onPart?.(change);
+      },
+      {
+        bornOf: (id) => this.servers.get(id)?.born,
+        idAt: (address) => this.servers.idAt(address),
+        isRefused: (address) => options.isRefused?.(address) ?? Promise.resolve(false),
+      },
+    );
     this.#teamUsage = TeamUsage.create(clock);
     this.#admission = Admission.create(clock, options.work, { snapshot: () => this.#snapshot() });
   }
@@ -178,7 +189,7 @@
    */
   applyServers(present: readonly Server[], storeAway: boolean): void {
     this.#forget(this.servers.update(present, storeAway));
-    this.#poisonGuard.recordRegistrations((id) => this.servers.get(id)?.born);
+    this.#poisonGuard.recordRegistrations();
     this.#prefixHomes.clear();
     this.#admission.placeQueued();
   }
@@ -385,7 +396,7 @@
         ...this.#unreportedParts,
         ...this.#prefixCaches.recordPrefill(server.id, service.engine.memory, request.prompt),
       ];
-    const run = this.#poisonGuard.begin(server, request.prompt, () => this.#isLeaving(server));
+    const run = this.#poisonGuard.begin(server, request.prompt, () => this.servers.mayEnd(server));
     const sent = clock.now();
     let startedAt: Milliseconds | undefined;
     let isFinished = false;
@@ -516,11 +527,6 @@
     return candidates;
   }
 
-  #isLeaving({ id, born }: KnownServer): boolean {
-    const known = this.servers.get(id);
-    return known?.born === born && known?.isLeaving === true;
-  }
-
   #isFree(server: KnownServer): boolean {
     const { id, service, slots } = server;
     if (!this.serverHealth.isUsable(id) || this.#holdOffs.remaining(server) > 0) return false;
--- a/packages/coordination/src/routing/poisonGuard.test.ts
+++ b/packages/coordination/src/routing/poisonGuard.test.ts
@@ -4,7 +4,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { Clock, type Milliseconds } from '@catkinwheel/state';
-import { PoisonGuard, type GuardedRun } from './poisonGuard.js';
+import { PoisonGuard, type EndSources, type GuardedRun } from './poisonGuard.js';
 import type { Prompt } from './model.js';
 
 const step: Milliseconds = 10;
@@ -80,7 +80,7 @@
     if (guard === undefined || server === undefined || guard.blockedFor(prompt) > 0) return;
     const isUp = server.upAt <= now;
     const born = isUp ? server.born : server.born - 1;
-    const run = guard.begin({ id: server.id, born }, prompt, () => false);
+    const run = guard.begin({ id: server.id, born, address: '' }, prompt, () => false);
     if (!isUp) {
       run.finished('unreachable');
       return;
@@ -138,18 +138,59 @@
     assert.deepEqual([...(await play(seed, Infinity)).blocked], [], `seed ${seed}`);
 });
 
-// Guards against blame where servers break answers off and are taken away later, as in the replacement of a service.
-test('a server that lost connections and whose registration is removed has not ended under its requests', async () => {
+/** Loses connections to five servers, one after the other, and says what is blocked then. */
+async function loseServers(
+  sources: EndSources,
+  registrationsGoAfter: Milliseconds,
+): Promise<readonly string[]> {
   const clock = Clock.manual(0);
   const blocked: string[] = [];
-  const guard = PoisonGuard.create(clock, 'r1', ({ part }) => {
-    blocked.push(part);
-  });
+  const gone = new Set<string>();
+  const guard = PoisonGuard.create(
+    clock,
+    'r1',
+    ({ part }) => {
+      blocked.push(part);
+    },
+    { ...sources, bornOf: (id) => (gone.has(id) ? undefined : 1) },
+  );
   for (const id of ['a', 'b', 'c', 'd', 'e']) {
-    guard.begin({ id, born: 1 }, promptOf('dead'), () => false).finished('disconnected');
-    guard.recordRegistrations(() => undefined);
-    guard.tick();
+    const server = { id, born: 1, address: `10.0.0.1:${id}` };
+    guard.begin(server, promptOf('dead'), () => false).finished('disconnected');
+    await clock.advance(registrationsGoAfter);
+    gone.add(id);
+    guard.recordRegistrations();
     await clock.advance(200);
+    guard.tick();
   }
-  assert.deepEqual(blocked, []);
+  return blocked;
+}
+
+const listening: EndSources = {
+  bornOf: () => undefined,
+  idAt: () => undefined,
+  isRefused: () => Promise.resolve(false),
+};
+
+// Guards against blame where servers break answers off and are taken away later, as in the replacement of a service.
+test('a server that lost connections and whose registration is removed has not ended under its requests', async () => {
+  assert.deepEqual(await loseServers(listening, 0), []);
+});
+
+// Guards against BUDGET where the list drops a server as it ends, so that nobody is sent there and finds it gone.
+test('a server that is gone from the list and from its address has ended under its requests', async () => {
+  const refused = { ...listening, isRefused: () => Promise.resolve(true) };
+  assert.deepEqual(await loseServers(refused, 0), ['dead']);
+});
+
+// Guards against BUDGET where the end is heard of only when the next server is at the address.
+test('a server in whose place another one is registered has ended under its requests', async () => {
+  const replaced = { ...listening, idAt: () => 'next' };
+  assert.deepEqual(await loseServers(replaced, 1_500), ['dead']);
+});
+
+// Guards against blame by another server that comes to an address long after connections to the one before were lost.
+test('a server that is replaced long after it lost connections has not ended under its requests', async () => {
+  const replaced = { ...listening, idAt: () => 'next' };
+  assert.deepEqual(await loseServers(replaced, 6_000), []);
 });
--- a/packages/coordination/src/routing/poisonGuard.ts
+++ b/packages/coordination/src/routing/poisonGuard.ts
@@ -30,6 +30,28 @@
   | { readonly kind: 'blocked'; readonly part: string; readonly ends: number | undefined }
   | { readonly kind: 'released'; readonly part: string };
 
+/** A server that a request is sent to. */
+export interface GuardedServer extends ServerInstance {
+  /** `host:port` */
+  readonly address: string;
+}
+
+/** What is known of registrations and addresses, to tell an end from a connection that was only lost. */
+export interface EndSources {
+  /** Start time that the registration of the server names; undefined if there is none. */
+  readonly bornOf: (id: string) => number | undefined;
+  /** The server that is registered at the address. */
+  readonly idAt: (address: string) => string | undefined;
+  /** Whether connections to the address are refused, so that no process listens there. */
+  readonly isRefused: (address: string) => Promise<boolean>;
+}
+
+const noSources: EndSources = {
+  bornOf: () => undefined,
+  idAt: () => undefined,
+  isRefused: () => Promise.resolve(false),
+};
+
 /** Follows one request at a server. */
 export interface GuardedRun {
   /** Bytes of a successful response have arrived. */
@@ -41,20 +63,30 @@
 export class PoisonGuard {
   readonly #crashes: CrashReports;
   readonly #parts: PoisonParts;
+  /** Addresses of instances whose end is not confirmed, by id. */
+  readonly #addresses = new Map<string, string>();
+  /** Ids of instances whose addresses are being examined, or were. */
+  readonly #examined = new Set<string>();
   #hasNews = false;
 
   private constructor(
     private readonly clock: Clock,
     self: string,
     private readonly onChange: (change: PartChange) => void,
+    private readonly sources: EndSources,
   ) {
     this.#crashes = CrashReports.create(clock, self);
     this.#parts = PoisonParts.create(clock);
   }
 
   /** `self` is the name of this router. */
-  static create(clock: Clock, self: string, onChange: (change: PartChange) => void): PoisonGuard {
-    return new PoisonGuard(clock, self, onChange);
+  static create(
+    clock: Clock,
+    self: string,
+    onChange: (change: PartChange) => void,
+    sources: EndSources = noSources,
+  ): PoisonGuard {
+    return new PoisonGuard(clock, self, onChange, sources);
   }
 
   /** How long requests with the prompt are refused; 0 if they are not. */
@@ -62,8 +94,8 @@
     return prompt === undefined ? 0 : this.#parts.blockedFor(sharedParts(prompt));
   }
 
-  /** Follows a request that is being sent. `isLeaving` tells whether its server is known to leave, and so may end anyway. */
-  begin(server: ServerInstance, prompt: Prompt | undefined, isLeaving: () => boolean): GuardedRun {
+  /** Follows a request that is being sent. `isLeaving` tells whether its server may end as planned. */
+  begin(server: GuardedServer, prompt: Prompt | undefined, isLeaving: () => boolean): GuardedRun {
     const parts = prompt === undefined ? [] : sharedParts(prompt);
     const sentAt = this.clock.now();
     let firstAt: Milliseconds | undefined;
@@ -91,6 +123,8 @@
           case 'disconnected':
             if (isProven || isLeaving()) return;
             this.#crashes.recordLoss(server, parts);
+            this.#addresses.set(server.id, server.address);
+            this.#examine(server);
             break;
           case 'unreachable':
           case 'misdirected':
@@ -106,23 +140,47 @@
     };
   }
 
+  /** Looks at the registrations again, since they have changed. */
+  recordRegistrations(): void {
+    for (const server of this.#crashes.unconfirmed()) this.#examine(server);
+  }
+
   /**
-   * Records that the set of registrations has changed. `bornOf` is the start time that the registration of a server names;
-   * undefined if there is none. That a registration is gone is no sign of an end: servers are also taken away.
+   * Looks for signs that an instance to which connections were lost has ended: its registration names a new start, or it has
+   * none and another server is registered at its address or nobody listens there. That the registration is gone says nothing by
+   * itself: entries lapse, and servers that are taken away go on for some time.
    */
-  recordRegistrations(bornOf: (id: string) => number | undefined): void {
-    for (const server of this.#crashes.unconfirmed()) {
-      const born = bornOf(server.id);
-      if (born === undefined || born === server.born) continue;
-      this.#crashes.confirm(server);
-      this.#hasNews = true;
+  #examine(server: ServerInstance): void {
+    const born = this.sources.bornOf(server.id);
+    if (born === server.born) return;
+    if (born !== undefined) {
+      this.#confirm(server);
+      return;
     }
+    const address = this.#addresses.get(server.id);
+    if (address === undefined || !this.#crashes.isRecent(server)) return;
+    if (this.sources.idAt(address) !== undefined) {
+      this.#confirm(server);
+      return;
+    }
+    if (this.#examined.has(server.id)) return;
+    this.#examined.add(server.id);
+    void this.sources.isRefused(address).then((isRefused) => {
+      if (isRefused && this.#crashes.isRecent(server)) this.#confirm(server);
+    });
+  }
+
+  #confirm(server: ServerInstance): void {
+    this.#crashes.confirm(server);
+    this.#addresses.delete(server.id);
+    this.#hasNews = true;
   }
 
   /** Periodic work: judges new evidence and drops what is old. */
   tick(): void {
     this.#crashes.expire();
     this.#parts.expire();
+    this.#forgetExamined();
     if (!this.#hasNews) return;
     this.#hasNews = false;
     for (const { part, ends } of this.#parts.judge(this.#crashes.ends()))
@@ -147,6 +205,14 @@
         this.onChange({ kind: 'blocked', part: timed[0], ends: undefined });
   }
 
+  /** Keeps the addresses of unconfirmed ends only. */
+  #forgetExamined(): void {
+    if (this.#addresses.size === 0 && this.#examined.size === 0) return;
+    const open = new Set(this.#crashes.unconfirmed().map(({ id }) => id));
+    for (const id of this.#addresses.keys()) if (!open.has(id)) this.#addresses.delete(id);
+    for (const id of this.#examined) if (!open.has(id)) this.#examined.delete(id);
+  }
+
   #prove(parts: readonly string[], age?: Milliseconds): void {
     for (const part of this.#parts.prove(parts, age)) {
       this.onChange({ kind: 'released', part });
--- a/packages/coordination/src/routing/serverTable.ts
+++ b/packages/coordination/src/routing/serverTable.ts
@@ -12,6 +12,14 @@
  */
 const renewalTimeout: Milliseconds = 2_000;
 
+/**
+ * A server that leaves as planned goes on for at least the drain time of two seconds after its registration is gone. One that ends
+ * sooner has crashed.
+ */
+const minDrainTime: Milliseconds = 1_000;
+/** Time for which it is remembered when a registration went. */
+const removalMemory: Milliseconds = 60_000;
+
 /** A registered server with this router's additions. */
 export interface KnownServer extends Server {
   /** End of its time as a cold server, on the router's clock. */
@@ -23,10 +31,17 @@
   readonly lapses: Milliseconds | undefined;
 }
 
+interface Removal {
+  readonly born: number | undefined;
+  readonly at: Milliseconds;
+}
+
 /** Servers by id. Changed only by `update`, `recordLeaving`, `markCold` and `expire`. */
 export class ServerTable {
   #servers: ReadonlyMap<string, KnownServer> = new Map();
   readonly #departures: Departures;
+  /** When the registrations of instances went, by id; only the last instance of an id counts. */
+  readonly #removals = new Map<string, Removal>();
 
   private constructor(private readonly clock: Clock) {
     this.#departures = Departures.create(clock);
@@ -60,6 +75,7 @@
         next.set(known.id, { ...known, lapses: known.lapses ?? now + renewalTimeout });
       } else {
         stale.push(known.id);
+        this.#removals.set(known.id, { born: known.born, at: now });
       }
     }
     this.#servers = next;
@@ -94,6 +110,8 @@
   expire(): readonly string[] {
     const now = this.clock.now();
     this.#departures.expire((id) => this.#servers.has(id));
+    for (const [id, { at }] of this.#removals)
+      if (at < now - removalMemory) this.#removals.delete(id);
     const expired = [...this.#servers.values()].filter(
       ({ lapses }) => lapses !== undefined && lapses <= now,
     );
@@ -104,6 +122,19 @@
     return expired.map(({ id }) => id);
   }
 
+  /** Whether the instance may end now as planned: it has said that it leaves, or has been off the list for long enough. */
+  mayEnd(instance: ServerInstance): boolean {
+    if (this.#departures.has(instance)) return true;
+    if (this.#servers.has(instance.id)) return false;
+    const removal = this.#removals.get(instance.id);
+    return removal?.born === instance.born && this.clock.now() - (removal?.at ?? 0) > minDrainTime;
+  }
+
+  /** The id of the server that is registered at the address; undefined if there is none. */
+  idAt(address: string): string | undefined {
+    return this.all().find((server) => server.address === address)?.id;
+  }
+
   get(id: string): KnownServer | undefined {
     return this.#servers.get(id);
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -23,6 +23,7 @@
 import { Clock, type Milliseconds } from '@catkinwheel/state';
 import { createAdaptorServer, type ServerType } from '@hono/node-server';
 import { Hono } from 'hono';
+import { isRefused } from './addressProbe.js';
 import { Gossip } from './gossip.js';
 import { Frontend } from './frontend.js';
 import { StoreReplica } from './storeReplica.js';
@@ -104,6 +105,7 @@
       onPart: ({ kind, ...fields }) => {
         log.write(`prompt part ${kind}`, fields);
       },
+      isRefused,
     });
     const storeReplica = StoreReplica.create(clock, dispatcher, log);
     const store = StoreClient.create(settings.store);
--- a/packages/standins/src/stack/server.ts
+++ b/packages/standins/src/stack/server.ts
@@ -80,7 +80,8 @@
   #lateAnswers = 0;
 
   private constructor(
-    readonly id: string,
+    /** May be changed while the server does not run. */
+    public id: string,
     private readonly server: Server,
     private readonly port: number,
   ) {}
