routing: refuse by the latency target where a queue stands, and by the learned response time

Callers who come back take places from new requests although they are late already. Streams that cannot end by their deadline are begun. Change: where the queue of a service has not been empty for 0.3 s, a request is refused at once unless it is predicted to begin within its latency target; teams that got less than 0.6 of the best-served one are exempt. Requests of callers who have come back, told by the time they have left, go behind new ones; rests of streams go first. Whether a response can be complete by its deadline is judged by the learned time for its output. The time after which callers come back grows with the overload.

--- a/packages/coordination/src/routing/admission.test.ts
+++ b/packages/coordination/src/routing/admission.test.ts
@@ -29,6 +29,8 @@
     stopsAt: Infinity,
     duration: undefined,
     cost: 1_000,
+    isContinuation: false,
+    isReturn: false,
     ...changes,
   };
 }
@@ -67,6 +69,10 @@
   received(team: string): number {
     return this.amounts.get(team) ?? 0;
   }
+
+  mostReceived(): number {
+    return Math.max(0, ...this.amounts.values());
+  }
 }
 
 function setUp(): { clock: ManualClock; capacity: OneServer; admission: Admission } {
@@ -178,6 +184,90 @@
   assert.equal(capacity.served.length, 0);
 });
 
+/** Keeps a queue of the service from being empty for half a second. */
+async function letQueueStand({ clock, admission }: ReturnType<typeof setUp>): Promise<void> {
+  for (let step = 0; step < 25; step += 1) {
+    void admission.admit(job(clock, { team: 'flood' }), never);
+    await clock.advance(20);
+    admission.placeQueued();
+  }
+}
+
+// Guards against callers of a flooding team that wait for a second or two to be told no.
+test('where a queue stands, a request that would miss its latency target is refused at once', async () => {
+  const parts = setUp();
+  const { clock, capacity, admission } = parts;
+  capacity.amounts.set('flood', 10_000);
+  await letQueueStand(parts);
+  const arrivedAt = clock.now();
+  const result = await admission.admit(job(clock, { team: 'flood' }), never);
+  assert.ok(result.kind === 'refused' && result.reason === 'overload');
+  assert.equal(clock.now(), arrivedAt);
+  // The queue that is left begins within the latency target.
+  assert.ok(admission.length <= 3, `${admission.length} wait`);
+});
+
+// Guards against refusals in a burst that is soon worked off.
+test('where no queue stands, a request may begin after its latency target', () => {
+  const { clock, admission } = setUp();
+  for (let index = 0; index < 8; index += 1) void admission.admit(job(clock), never);
+  assert.equal(admission.length, 8);
+});
+
+// Guards against FAIR: a team that got little is refused by the queue that another one has caused.
+test('a team that is owed service is not refused for its latency target', async () => {
+  const parts = setUp();
+  const { clock, capacity, admission } = parts;
+  capacity.amounts.set('flood', 10_000);
+  await letQueueStand(parts);
+  const waiting = admission.length;
+  for (let index = 0; index < 4; index += 1)
+    void admission.admit(job(clock, { team: 'small' }), never);
+  assert.equal(admission.length, waiting + 4);
+});
+
+// Guards against a wave of returns: callers who come back are late already, and would make the new ones late too.
+test('requests of callers who have come back go behind new ones', () => {
+  const { clock, capacity, admission } = setUp();
+  void admission.admit(job(clock, { isReturn: true }), never);
+  const fresh = job(clock, { priority: 2 });
+  void admission.admit(fresh, never);
+  capacity.free = 1;
+  admission.placeQueued();
+  assert.deepEqual(capacity.served, [fresh]);
+});
+
+// Guards against streams that break off midway, since no server takes their rest while others wait.
+test('a response that its caller has a part of goes first, and is not refused for its latency target', async () => {
+  const parts = setUp();
+  const { clock, capacity, admission } = parts;
+  capacity.amounts.set('flood', 10_000);
+  await letQueueStand(parts);
+  await clock.advance(700);
+  const rest = job(clock, {
+    team: 'flood',
+    isContinuation: true,
+    arrived: clock.now() - 2_000,
+    targetTime: clock.now() - 1_200,
+    firstEventDeadline: Infinity,
+  });
+  void admission.admit(rest, never);
+  capacity.free = 1;
+  admission.placeQueued();
+  assert.deepEqual(capacity.served, [rest]);
+});
+
+// Guards against long outputs with little time left, which a server works on until their deadline for nothing.
+test('a request whose response cannot be complete by its deadline is refused at once', async () => {
+  const { clock, admission } = setUp();
+  const duration = { expected: 6_000, atMost: 9_000 };
+  const late = job(clock, { duration, deadline: clock.now() + 6_200 });
+  const result = await admission.admit(late, never);
+  assert.ok(result.kind === 'refused' && result.reason === 'overload');
+  void admission.admit(job(clock, { duration, deadline: clock.now() + 8_000 }), never);
+  assert.equal(admission.length, 1);
+});
+
 test('the request of a caller that leaves is removed from the queue', async () => {
   const { clock, admission } = setUp();
   const leaving = new AbortController();
@@ -191,7 +281,7 @@
 test('while no server is usable a request waits for a fraction of its latency target, then is refused', async () => {
   const clock = Clock.manual();
   const admission = Admission.create(clock, WorkTimer.create(clock), {
-    snapshot: () => ({ place: () => ({ kind: 'none' }), received: () => 0 }),
+    snapshot: () => ({ place: () => ({ kind: 'none' }), received: () => 0, mostReceived: () => 0 }),
   });
   const result = admission.admit(job(clock), never);
   await clock.advance(300);
--- a/packages/coordination/src/routing/admission.ts
+++ b/packages/coordination/src/routing/admission.ts
@@ -1,7 +1,9 @@
 // Admission control for a single router. An inference engine runs requests in order of arrival, so a backlog there is
 // served late and without fairness between teams. When requests arrive faster than servers can prefill them, they are
 // queued here instead, each for the server predicted to serve it best, and the order is chosen anew whenever a server
-// has room. A request that could not be served in time is refused on arrival.
+// has room. A request that could not be served in time is refused on arrival: by its deadline, and where a queue has been
+// standing for some time, so that more is asked than can be served, by its latency target. A standing queue makes each request
+// late and serves none more.
 
 import type { Clock, Milliseconds } from '@catkinwheel/state';
 import { noLoad, sumLoads, type Load, type LoadMap } from './loads.js';
@@ -29,6 +31,10 @@
   readonly duration: ResponseDuration | undefined;
   /** Size in tokens, prompt and output together. 1 for requests to plain services. */
   readonly cost: number;
+  /** Whether the caller already has a part of the response, which another server is to continue. */
+  readonly isContinuation: boolean;
+  /** Whether the caller has probably come back with it, so that it is late for the caller already. */
+  readonly isReturn: boolean;
 }
 
 /** The outcome of a job. */
@@ -63,6 +69,8 @@
   place(job: Job, ahead: LoadMap): Placement;
   /** Tokens of service that the team has recently received in the whole fleet. */
   received(team: string): number;
+  /** The same of the team that has received most. */
+  mostReceived(): number;
 }
 
 /** Supplies the servers that jobs are placed on. */
@@ -84,6 +92,24 @@
  * request with less left is refused.
  */
 const responseFraction = 1 / 3;
+/**
+ * A queue that has not been empty for this time is a standing one: it comes from more requests than can be served, not from a
+ * burst that is soon worked off (M. Maurer, Fail at Scale, ACM Queue 13.8, after the CoDel queue management).
+ */
+const standingQueueTime: Milliseconds = 300;
+/**
+ * Where a queue stands, a new request has to be predicted to begin within this fraction of its latency target, and a queued one
+ * within all of it. The rest is for requests that go ahead of it later, so that few are refused after they have waited.
+ */
+const arrivalFraction = 0.6;
+/**
+ * A long prompt may take most of the latency target by itself. It may wait for these fractions of it in any case, when it is new
+ * and when it is queued, so that long prompts are not refused before short ones.
+ */
+const arrivalWaitFraction = 0.4;
+const queuedWaitFraction = 0.5;
+/** Callers that are refused come back after this multiple of the time for which the queue has been standing. */
+const returnFactor = 2;
 /** Covers forwarding the first event to the caller, and the error of its prediction. */
 const firstEventMargin: Milliseconds = 200;
 /** Fraction of its latency target that a job waits for a server to become usable if none is. */
@@ -98,6 +124,13 @@
  */
 const underservedFraction = 0.9;
 
+/**
+ * A team that has received less than this fraction of what the best-served team has got is owed service: its requests are
+ * refused only if they cannot be served at all. Half of what another team gets is the least that is fair; the rest is for
+ * service that is reported late.
+ */
+const owedFraction = 0.6;
+
 interface QueuedJob {
   readonly job: Job;
   /** Placement by the last pass; undefined before the first one, or if no server was usable. */
@@ -110,6 +143,8 @@
   #queue: readonly QueuedJob[] = [];
   #queuedLoads: LoadMap = new Map();
   #lastPass: Milliseconds = -Infinity;
+  /** Since when requests of a service have been queued without a break. */
+  #standingSince: ReadonlyMap<string, Milliseconds> = new Map();
 
   private constructor(
     private readonly clock: Clock,
@@ -168,6 +203,7 @@
     const now = this.clock.now();
     if (now - this.#lastPass < minPassInterval) return;
     this.#lastPass = now;
+    this.#noteStandingQueues();
     const ahead = new Map<string, Load>();
     if (this.#queue.length > 0) {
       this.work.run('queue', () => {
@@ -191,7 +227,7 @@
       const { id, addedLoad } = other.lastPlacement;
       before.set(id, sumLoads(before.get(id) ?? noLoad, addedLoad));
     }
-    this.#placeJob(queued, snapshot, before);
+    this.#placeJob(queued, snapshot, before, true);
     if (queued.lastPlacement?.kind !== 'wait') return;
     const { id, addedLoad } = queued.lastPlacement;
     this.#queuedLoads = new Map(this.#queuedLoads).set(
@@ -201,7 +237,12 @@
   }
 
   /** Tries to place one queued job; adds its load to `ahead` if it remains in the queue. */
-  #placeJob(queued: QueuedJob, snapshot: ServerSnapshot, ahead: Map<string, Load>): void {
+  #placeJob(
+    queued: QueuedJob,
+    snapshot: ServerSnapshot,
+    ahead: Map<string, Load>,
+    isArrival = false,
+  ): void {
     const { job } = queued;
     const now = this.clock.now();
     // Asked before a place is taken: placing a request counts it at its server.
@@ -216,19 +257,25 @@
       case 'server':
         this.#settle(queued, { ...placement, kind: 'server' });
         return;
-      case 'wait':
-        if (now + placement.predicted > latestFirstEvent(job)) {
+      case 'wait': {
+        const isOwed = snapshot.received(job.team) < owedFraction * snapshot.mostReceived();
+        const standing = isOwed ? 0 : this.#standingTime(job.service);
+        const limit = latestStart(job, placement.idlePrediction, standing, isArrival);
+        if (now + placement.predicted > limit) {
           const basis: OverloadBasis = {
             server: placement.id,
             start: placement.predicted,
-            limit: latestFirstEvent(job) - now,
+            limit: limit - now,
             received: snapshot.received(job.team),
           };
-          this.#settle(queued, { ...refusal('overload', placement.predicted), basis });
+          // The longer more is asked than can be served, the later callers come back.
+          const wait = Math.max(placement.predicted, returnFactor * standing);
+          this.#settle(queued, { ...refusal('overload', wait), basis });
           return;
         }
         ahead.set(placement.id, sumLoads(ahead.get(placement.id) ?? noLoad, placement.addedLoad));
         return;
+      }
       case 'blocked':
         this.#settle(queued, {
           kind: 'refused',
@@ -250,8 +297,8 @@
   }
 
   /**
-   * Order: underserved teams first, then priority, then jobs that can still meet their target, then teams
-   * that received less.
+   * Order: responses that have begun, underserved teams, jobs that can still meet their target, priority, then teams that
+   * received less.
    */
   #inOrder(snapshot: ServerSnapshot): readonly QueuedJob[] {
     if (this.#queue.length < 2) return this.#queue;
@@ -268,20 +315,42 @@
         queued,
         amount,
         isUnderserved: amount < underservedLimit,
-        isLate: now + onTimeMargin + (queued.lastPlacement?.idlePrediction ?? 0) > job.targetTime,
+        isLate:
+          job.isReturn ||
+          now + onTimeMargin + (queued.lastPlacement?.idlePrediction ?? 0) > job.targetTime,
       };
     });
     entries.sort(
       (a, b) =>
+        Number(b.queued.job.isContinuation) - Number(a.queued.job.isContinuation) ||
         Number(b.isUnderserved) - Number(a.isUnderserved) ||
-        a.queued.job.priority - b.queued.job.priority ||
         Number(a.isLate) - Number(b.isLate) ||
+        a.queued.job.priority - b.queued.job.priority ||
         a.amount - b.amount ||
         a.queued.job.arrived - b.queued.job.arrived,
     );
     return entries.map(({ queued }) => queued);
   }
 
+  /** How long the queue of the service has been standing; 0 if not long enough to be more than a burst. */
+  #standingTime(service: string): Milliseconds {
+    const since = this.#standingSince.get(service);
+    const standing = since === undefined ? 0 : this.clock.now() - since;
+    return standing >= standingQueueTime ? standing : 0;
+  }
+
+  #noteStandingQueues(): void {
+    const now = this.clock.now();
+    const services = new Set(
+      this.#queue.flatMap(({ job, lastPlacement }) =>
+        lastPlacement?.kind === 'wait' ? [job.service] : [],
+      ),
+    );
+    this.#standingSince = new Map(
+      [...services].map((service) => [service, this.#standingSince.get(service) ?? now]),
+    );
+  }
+
   #settle(queued: QueuedJob, admitted: AdmissionResult): void {
     this.#queue = this.#queue.filter((other) => other !== queued);
     queued.settle(admitted);
@@ -289,11 +358,29 @@
 }
 
 /** Latest time of the first event with which the response can still be complete by the deadline. */
-function latestFirstEvent(job: Job): Milliseconds {
-  return Math.min(
-    job.deadline - responseFraction * (job.deadline - job.arrived),
-    job.firstEventDeadline - firstEventMargin,
-  );
+export function latestFirstEvent(job: Job): Milliseconds {
+  const { arrived, deadline, duration, firstEventDeadline } = job;
+  const responseTime = duration?.expected ?? responseFraction * (deadline - arrived);
+  return Math.min(deadline - responseTime, firstEventDeadline - firstEventMargin);
+}
+
+/**
+ * Latest time of the first event with which the request is served; `idlePrediction` is its time to the first event at an idle
+ * server, which a long prompt may take for most of its latency target.
+ */
+function latestStart(
+  job: Job,
+  idlePrediction: Milliseconds,
+  standingTime: Milliseconds,
+  isArrival: boolean,
+): Milliseconds {
+  const latest = latestFirstEvent(job);
+  if (standingTime === 0 || job.isContinuation) return latest;
+  const aim = job.targetTime - job.arrived;
+  const allowance = isArrival
+    ? Math.max(aim * arrivalFraction, idlePrediction + aim * arrivalWaitFraction)
+    : Math.max(aim, idlePrediction + aim * queuedWaitFraction);
+  return Math.min(latest, job.arrived + allowance);
 }
 
 /**
--- a/packages/coordination/src/routing/dispatcher.test.ts
+++ b/packages/coordination/src/routing/dispatcher.test.ts
@@ -244,3 +244,25 @@
   router.hear({ kind: 'router', name: 'r2' }, heard);
   assert.equal(router.freeServerFraction(), 0.5);
 });
+
+// Guards against long outputs with little time left, also at a server with room.
+test('a response that took most of its time before gets no server when too little is left', async () => {
+  const clock = Clock.manual(1_000);
+  const router = dispatcher(clock);
+  router.applyServers([server('a')], false);
+  for (let index = 0; index < 20; index += 1) {
+    const grant = await settled(clock, router.acquire(request(clock), never));
+    assert.ok(grant?.kind === 'server');
+    await clock.advance(300);
+    grant.started();
+    await clock.advance(5_000);
+    grant.finish('answered');
+  }
+  const short = await settled(
+    clock,
+    router.acquire(request(clock, { deadline: clock.now() + 4_000 }), never),
+  );
+  assert.ok(short?.kind === 'refused' && short.reason === 'overload');
+  const enough = await settled(clock, router.acquire(request(clock), never));
+  assert.equal(enough?.kind, 'server');
+});
--- a/packages/coordination/src/routing/dispatcher.ts
+++ b/packages/coordination/src/routing/dispatcher.ts
@@ -3,7 +3,13 @@
 // members of Dispatcher and of its parameters and results keep their names.
 
 import type { Clock, Milliseconds } from '@catkinwheel/state';
-import { Admission, type AdmissionResult, type Job, type ServerSnapshot } from './admission.js';
+import {
+  Admission,
+  latestFirstEvent,
+  type AdmissionResult,
+  type Job,
+  type ServerSnapshot,
+} from './admission.js';
 import { ColdStartLimiter, type ColdRateBound } from './coldStart.js';
 import { EngineTiming } from './engineTiming.js';
 import { HoldOffs } from './holdOffs.js';
@@ -28,6 +34,7 @@
 import { ServerTable, type KnownServer } from './serverTable.js';
 import { ServerHealth, type HealthChange, type ServerOutcome } from './serverHealth.js';
 import { TeamUsage } from './teamUsage.js';
+import { TimeBudgets } from './timeBudgets.js';
 import type { WorkTimer } from './workTimer.js';
 
 /**
@@ -67,6 +74,8 @@
   readonly stopsAt?: Milliseconds;
   /** Servers that have already failed the request. */
   readonly avoid: ReadonlySet<string>;
+  /** Whether the caller already has a part of the response. */
+  readonly isContinuation?: boolean;
 }
 
 /** A server for one attempt of a request. The caller has to call `finish` exactly once. */
@@ -124,9 +133,10 @@
   readonly #holdOffs: HoldOffs;
   readonly #poisonGuard: PoisonGuard;
   readonly #teamUsage: TeamUsage;
+  readonly #timeBudgets: TimeBudgets;
   readonly #admission: Admission;
   readonly #engineTimings = new Map<string, EngineTiming>();
-  /** By service. */
+  /** By route. */
   readonly #responseTimes = new Map<string, ResponseTimes>();
   /** By service; cleared whenever the set of servers changes. */
   readonly #prefixHomes = new Map<string, PrefixHomes>();
@@ -161,6 +171,7 @@
       },
     );
     this.#teamUsage = TeamUsage.create(clock);
+    this.#timeBudgets = TimeBudgets.create(clock);
     this.#admission = Admission.create(clock, options.work, { snapshot: () => this.#snapshot() });
   }
 
@@ -243,6 +254,8 @@
       stopsAt: request.stopsAt ?? Infinity,
       duration: this.#durationOf(request),
       cost: requestCost(request.prompt),
+      isContinuation: request.isContinuation ?? false,
+      isReturn: this.#timeBudgets.observe(request.route.name, request.deadline - request.arrived),
     };
     this.#requests.set(job, request);
     const admitted = await this.#admission.admit(job, signal);
@@ -348,12 +361,21 @@
     return this.#teamUsage.received(team) + this.#reports.received(team);
   }
 
+  /** Tokens of service of the team that has recently received most in the whole fleet. */
+  #mostReceived(): number {
+    const own = this.#teamUsage.byTeam();
+    const teams = new Set([...own.keys(), ...this.#reports.teams()]);
+    return Math.max(0, ...[...teams].map((team) => this.#received(team)));
+  }
+
   /** A snapshot for one pass over the queue; lookups that many requests share are memoized. */
   #snapshot(): ServerSnapshot {
     const received = memoized((team: string) => this.#received(team));
     const usable = memoized((service: string) => this.#usableServers(service));
+    let mostReceived: number | undefined;
     return {
       received,
+      mostReceived: () => (mostReceived ??= this.#mostReceived()),
       place: (job, ahead) => this.#place(job, ahead, usable(job.service), received(job.team)),
     };
   }
@@ -371,8 +393,11 @@
     const home = prompt === undefined ? undefined : this.#homesOf(service.name).homeOf(prompt);
     const placement = chooseServer(candidates, timing, home, memory);
     if (placement.kind === 'none') return { ...placement, ...this.#availability(service.name) };
-    if (placement.kind === 'server')
-      this.#grant(job, request, service, placement, placement.addedLoad.unread, memory);
+    if (placement.kind !== 'server') return placement;
+    // A response that cannot be complete by its deadline gets no server, whether or not one has room.
+    if (this.options.clock.now() + placement.predicted > latestFirstEvent(job))
+      return { ...placement, kind: 'wait' };
+    this.#grant(job, request, service, placement, placement.addedLoad.unread, memory);
     return placement;
   }
 
@@ -432,25 +457,25 @@
     });
   }
 
-  /** Time that the response to the request takes; undefined if none of its service was seen. */
-  #durationOf({ service, prompt }: Request): ResponseDuration | undefined {
-    return this.#responseTimes.get(service)?.durationOf(prompt?.outputLimit);
+  /** Time that the response to the request takes; undefined if none of its route was seen. */
+  #durationOf({ route, prompt }: Request): ResponseDuration | undefined {
+    return this.#responseTimes.get(route.name)?.durationOf(prompt?.outputLimit);
   }
 
   #learnDuration(
-    { service, prompt }: Request,
+    { route, prompt }: Request,
     predicted: Milliseconds,
     sentAt: Milliseconds,
     startedAt: Milliseconds,
   ): void {
-    const known = this.#responseTimes.get(service) ?? ResponseTimes.unknown;
+    const known = this.#responseTimes.get(route.name) ?? ResponseTimes.unknown;
     const now = this.options.clock.now();
     const lateness = startedAt - sentAt - predicted;
     const times =
       prompt === undefined
         ? known.observeWhole(now - sentAt)
         : known.observeStream(now - startedAt, prompt.outputLimit, lateness);
-    this.#responseTimes.set(service, times);
+    this.#responseTimes.set(route.name, times);
   }
 
   #recordOutcome(server: KnownServer, service: Service, outcome: ServerOutcome): void {
--- a/packages/coordination/src/routing/index.ts
+++ b/packages/coordination/src/routing/index.ts
@@ -30,4 +30,5 @@
 export * from './serverTable.js';
 export * from './serverHealth.js';
 export * from './teamUsage.js';
+export * from './timeBudgets.js';
 export * from './workTimer.js';
--- a/packages/coordination/src/routing/reports.ts
+++ b/packages/coordination/src/routing/reports.ts
@@ -85,6 +85,11 @@
     return this.#sumOfAll().teams.get(team) ?? 0;
   }
 
+  /** Teams that have recently received service from other routers. */
+  teams(): Iterable<string> {
+    return this.#sumOfAll().teams.keys();
+  }
+
   /** Age of the oldest report in use; undefined if there is none. */
   oldestAge(): Milliseconds | undefined {
     const times = [...this.#received.values()].map(({ at }) => at);
--- a/packages/coordination/src/routing/responseTimes.ts
+++ b/packages/coordination/src/routing/responseTimes.ts
@@ -1,11 +1,14 @@
-// How long the responses of a service take, learned from those that were complete. Admission needs it to tell whether a response
+// How long the responses of a route take, learned from those that were complete. Admission needs it to tell whether a response
 // can be complete by a deadline, or before a stopping router ends.
 
 import type { Milliseconds } from '@catkinwheel/state';
 
-/** Weights of one observation in the mean and in the deviation, and the deviations of an upper bound (RFC 6298, section 2). */
-const meanWeight = 1 / 8;
-const deviationWeight = 1 / 4;
+/**
+ * Weights of one observation in the mean and in the deviation, and the deviations of an upper bound: after RFC 6298, section 2,
+ * with half of its weights, since responses vary more than round trips.
+ */
+const meanWeight = 1 / 16;
+const deviationWeight = 1 / 8;
 const boundDeviations = 4;
 
 /** A mean of observations and their mean deviation from it. Immutable. */
@@ -38,7 +41,7 @@
   readonly atMost: Milliseconds;
 }
 
-/** Learned response times of one service. Immutable. */
+/** Learned response times of one route. Immutable. */
 export class ResponseTimes {
   static readonly unknown = new ResponseTimes(undefined, undefined, undefined);
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -47,7 +47,7 @@
 /** A stopping router exits after this time without requests. */
 const quietPeriod: Milliseconds = 700;
 /** Longest time that a stopping router waits at its end for the last responses to be sent, and for its registration to be removed. */
-const maxFinalWait: Milliseconds = 200;
+const maxFinalWait: Milliseconds = 100;
 /** The same as a fraction of the time that is left until SIGKILL. */
 const finalWaitFraction = 1 / 4;
 /** Interval of the periodic log lines about the load; an overloaded router stays so for several seconds. */
--- a/packages/gateway/src/requestHandler.ts
+++ b/packages/gateway/src/requestHandler.ts
@@ -286,6 +286,7 @@
         arrived: this.#arrivedAt,
         deadline,
         avoid,
+        isContinuation: this.#callerResponse.isOpen,
       });
       if (grant.kind === 'refused') {
         this.#basis = grant.basis;
--- a/packages/standins/src/experiment/emulator.ts
+++ b/packages/standins/src/experiment/emulator.ts
@@ -30,6 +30,8 @@
 const drainPeriod: Milliseconds = 12_000;
 /** Retries of a caller after a refusal, a failure or an attempt that found no running router. */
 const maxCallerRetries = 1;
+/** Part of the time that a caller has left for which it waits at most before it comes back. */
+const maxWaitFraction = 1 / 3;
 /** Delay before a caller retries if no router is running. */
 const reconnectDelay: Milliseconds = 200;
 
@@ -203,7 +205,8 @@
         await clock.sleep(reconnectDelay, this.#stop.signal);
         continue;
       }
-      const attemptResult = await this.#attempt(router, arrival, onStart);
+      const deadline = arrivedAt + arrival.kind.timeout;
+      const attemptResult = await this.#attempt(router, arrival, deadline, onStart);
       if (attemptResult.kind === 'answered') {
         timeToFirstEvent = attemptResult.firstEventAt - arrivedAt;
         const isOnTime =
@@ -213,8 +216,10 @@
         break;
       }
       result = attemptResult.kind;
-      if (attemptResult.kind === 'refused')
-        await clock.sleep(attemptResult.retryAfter, this.#stop.signal);
+      if (attemptResult.kind === 'refused') {
+        const longestWait = (deadline - clock.now()) * maxWaitFraction;
+        await clock.sleep(Math.min(attemptResult.retryAfter, longestWait), this.#stop.signal);
+      }
     }
     this.#outcomes.push({ arrival, result, timeToFirstEvent, startedAt });
   }
@@ -227,6 +232,7 @@
   async #attempt(
     router: EmulatedRouter,
     { kind, team, prompt, outputTokens }: Arrival,
+    deadline: Milliseconds,
     onStart: () => void,
   ): Promise<AttemptResult> {
     const clock = this.#clock;
@@ -244,7 +250,7 @@
           team: { name: team, keys: [], priority: undefined, regions: [] },
           prompt,
           arrived: arrivedAt,
-          deadline: arrivedAt + kind.timeout,
+          deadline,
           avoid,
         },
         callerLeft.signal,
