routing: response times count for five seconds; log how long a queue has been standing

Cause (by reading): a route whose responses took about as long as its callers wait would be refused for ever, since no complete response corrects its learned time. An instance without a start time that was never registered counted as one that may end. Change: learned response times expire 5 s after the last complete response of the route. Refusals log and explain for how long requests had been queued without a break. Tests: dispatcher.test.ts (refused, and served 5.1 s later), serverTable.test.ts.

--- a/packages/catkinwheel/src/requestExplanation.ts
+++ b/packages/catkinwheel/src/requestExplanation.ts
@@ -178,7 +178,10 @@
         basis === undefined
           ? `${waiting} requests were queued at the router`
           : `its first event was predicted after ${basis.start} ms at ${basis.server}, ` +
-            `and ${basis.limit} ms were left for a useful first event; its team had received ${basis.received} tokens`;
+            `and ${basis.limit} ms were left for a useful first event; its team had received ${basis.received} tokens` +
+            ((basis.standing ?? 0) > 0
+              ? `; requests had been queued for ${basis.standing} ms without a break`
+              : '');
       return {
         cause: `No server had capacity in time: ${decision}.`,
         next: 'Check whether one team sends excessive load and whether servers are cold, lost or leaving (catkinwheel logs).',
@@ -201,7 +204,10 @@
       };
     case 'stopping':
       return {
-        cause: 'The router was stopping and accepted no new requests.',
+        cause:
+          lastAttempt === undefined
+            ? 'The router, or the one that held the connection, was stopping and could not have answered before its end.'
+            : `The router, or the one that held the connection, ended its planned stop while ${lastAttempt.server} was at work.`,
         next: "Check the 'stopping' event of this router; callers cache the directory's response for some seconds.",
       };
     case 'unknownRoute':
--- a/packages/catkinwheel/src/routerLog.ts
+++ b/packages/catkinwheel/src/routerLog.ts
@@ -51,6 +51,8 @@
 });
 
 const basisCodec = Codec.interface({
+  /** Routers of earlier versions log none. */
+  standing: optional(number),
   server: string,
   start: number,
   limit: number,
--- a/packages/coordination/src/routing/admission.ts
+++ b/packages/coordination/src/routing/admission.ts
@@ -27,7 +27,7 @@
   readonly deadline: Milliseconds;
   /** Time by which the response has to be complete since its connection ends; infinite unless a planned stop is known. */
   readonly stopsAt: Milliseconds;
-  /** Time that the response takes; undefined if none of its service was seen. */
+  /** Time that the response takes; undefined if none of its route was seen lately. */
   readonly duration: ResponseDuration | undefined;
   /** Size in tokens, prompt and output together. 1 for requests to plain services. */
   readonly cost: number;
@@ -56,6 +56,8 @@
   readonly start: Milliseconds;
   /** Latest time to the first event at which the response would still be useful. */
   readonly limit: Milliseconds;
+  /** How long requests have been queued without a break; 0 if the limit does not come from that. */
+  readonly standing: Milliseconds;
   /** Tokens of service that its team has recently received in the whole fleet. */
   readonly received: number;
 }
@@ -266,6 +268,7 @@
             server: placement.id,
             start: placement.predicted,
             limit: limit - now,
+            standing,
             received: snapshot.received(job.team),
           };
           // The longer more is asked than can be served, the later callers come back.
--- a/packages/coordination/src/routing/dispatcher.test.ts
+++ b/packages/coordination/src/routing/dispatcher.test.ts
@@ -263,6 +263,11 @@
     router.acquire(request(clock, { deadline: clock.now() + 4_000 }), never),
   );
   assert.ok(short?.kind === 'refused' && short.reason === 'overload');
+  // Guards against a route that is refused for ever by what its responses took once.
+  const late = clock.now() + 5_100;
+  await clock.advance(5_100);
+  const again = request(clock, { deadline: late + 4_000, prompt: prompt('story', 'again') });
+  assert.equal((await settled(clock, router.acquire(again, never)))?.kind, 'server');
   const enough = await settled(clock, router.acquire(request(clock), never));
   assert.equal(enough?.kind, 'server');
 });
--- a/packages/coordination/src/routing/dispatcher.ts
+++ b/packages/coordination/src/routing/dispatcher.ts
@@ -55,6 +55,11 @@
 const outputFraction = 0.5;
 /** Cost of generating a token, relative to prefilling one. */
 const outputTokenWeight = 2;
+/**
+ * Time after the last complete response of a route for which its response times count. Without an end, a route whose responses
+ * took as long as callers wait would be refused for ever.
+ */
+const durationLifetime: Milliseconds = 5_000;
 /** Max prompt parts in one report, so that it fits a datagram. */
 const maxReportedParts = 12;
 /** Max prompt parts in a data centre's summary, to which some twenty routers contribute. */
@@ -136,8 +141,11 @@
   readonly #timeBudgets: TimeBudgets;
   readonly #admission: Admission;
   readonly #engineTimings = new Map<string, EngineTiming>();
-  /** By route. */
-  readonly #responseTimes = new Map<string, ResponseTimes>();
+  /** By route, with the time of the last complete response. */
+  readonly #responseTimes = new Map<
+    string,
+    { readonly times: ResponseTimes; readonly at: Milliseconds }
+  >();
   /** By service; cleared whenever the set of servers changes. */
   readonly #prefixHomes = new Map<string, PrefixHomes>();
   readonly #requests = new WeakMap<Job, Request>();
@@ -457,9 +465,12 @@
     });
   }
 
-  /** Time that the response to the request takes; undefined if none of its route was seen. */
+  /** Time that the response to the request takes; undefined if none of its route was seen lately. */
   #durationOf({ route, prompt }: Request): ResponseDuration | undefined {
-    return this.#responseTimes.get(route.name)?.durationOf(prompt?.outputLimit);
+    const known = this.#responseTimes.get(route.name);
+    if (known === undefined || this.options.clock.now() - known.at > durationLifetime)
+      return undefined;
+    return known.times.durationOf(prompt?.outputLimit);
   }
 
   #learnDuration(
@@ -468,14 +479,14 @@
     sentAt: Milliseconds,
     startedAt: Milliseconds,
   ): void {
-    const known = this.#responseTimes.get(route.name) ?? ResponseTimes.unknown;
+    const known = this.#responseTimes.get(route.name)?.times ?? ResponseTimes.unknown;
     const now = this.options.clock.now();
     const lateness = startedAt - sentAt - predicted;
     const times =
       prompt === undefined
         ? known.observeWhole(now - sentAt)
         : known.observeStream(now - startedAt, prompt.outputLimit, lateness);
-    this.#responseTimes.set(route.name, times);
+    this.#responseTimes.set(route.name, { times, at: now });
   }
 
   #recordOutcome(server: KnownServer, service: Service, outcome: ServerOutcome): void {
--- a/packages/coordination/src/routing/serverTable.test.ts
+++ b/packages/coordination/src/routing/serverTable.test.ts
@@ -89,3 +89,18 @@
   table.update([server('a')], false);
   assert.equal(table.get('a')?.isLeaving, false);
 });
+
+// Guards against blame for ends that are planned, and against ends that look planned since the entry goes at once.
+test('a server may end as planned once it has been off the list for a second, or has said that it leaves', async () => {
+  const clock = Clock.manual();
+  const table = ServerTable.create(clock);
+  table.update([server('a'), server('bb', { isLeaving: true })], false);
+  assert.ok(!table.mayEnd({ id: 'a', born: 1 }));
+  assert.ok(table.mayEnd({ id: 'bb', born: 1 }));
+  table.update([], false);
+  assert.ok(!table.mayEnd({ id: 'a', born: 1 }));
+  await clock.advance(1_100);
+  assert.ok(table.mayEnd({ id: 'a', born: 1 }));
+  assert.ok(!table.mayEnd({ id: 'a', born: 2 }));
+  assert.ok(!table.mayEnd({ id: 'unknown', born: undefined }));
+});
--- a/packages/coordination/src/routing/serverTable.ts
+++ b/packages/coordination/src/routing/serverTable.ts
@@ -127,7 +127,8 @@
     if (this.#departures.has(instance)) return true;
     if (this.#servers.has(instance.id)) return false;
     const removal = this.#removals.get(instance.id);
-    return removal?.born === instance.born && this.clock.now() - (removal?.at ?? 0) > minDrainTime;
+    if (removal === undefined || removal.born !== instance.born) return false;
+    return this.clock.now() - removal.at > minDrainTime;
   }
 
   /** The id of the server that is registered at the address; undefined if there is none. */
--- a/packages/gateway/src/requestHandler.ts
+++ b/packages/gateway/src/requestHandler.ts
@@ -670,11 +670,12 @@
   return value === undefined ? undefined : Math.round(value);
 }
 
-function roundBasis({ server, start, limit, received }: OverloadBasis): OverloadBasis {
+function roundBasis({ server, start, limit, standing, received }: OverloadBasis): OverloadBasis {
   return {
     server,
     start: Math.round(start),
     limit: Math.round(limit),
+    standing: Math.round(standing),
     received: Math.round(received),
   };
 }
