--- a/review/standins/pipeline.mjs
+++ b/review/standins/pipeline.mjs
@@ -4,7 +4,7 @@
 import { connect } from 'node:net';
 
 /**
- * Sends the requests, each `{ method, path, id }`, one after the other on a new channel, and resolves with one outcome for each:
+ * Sends the requests, each `{ method, path, id, body }`, one after the other on a new channel, and resolves with one outcome for each:
  * its status and whether its body came whole. A status of 0 means that the channel ended before its answer.
  */
 export function pipeline({ address, host, key, budgetMs }, requests) {
@@ -31,10 +31,12 @@
       settle();
     }, budgetMs);
     socket.on('connect', () => {
-      const text = requests.map(
-        ({ method, path, id }) =>
-          `${method} ${path} HTTP/1.1\r\nhost: ${host}\r\nrequest-id: ${id}\r\ndeadline-ms: ${budgetMs}\r\nauthorization: Bearer ${key}\r\n\r\n`,
-      );
+      const text = requests.map(({ method, path, id, body }) => {
+        const head = `${method} ${path} HTTP/1.1\r\nhost: ${host}\r\nrequest-id: ${id}`;
+        const fields = `deadline-ms: ${budgetMs}\r\nauthorization: Bearer ${key}`;
+        const length = body === undefined ? '' : `\r\ncontent-length: ${body.length}`;
+        return `${head}\r\n${fields}${length}\r\n\r\n${body ?? ''}`;
+      });
       socket.write(text.join(''));
     });
     socket.on('data', (chunk) => {
