--- a/packages/gateway/src/requestHandler.ts
+++ b/packages/gateway/src/requestHandler.ts
@@ -129,6 +129,8 @@
   #basis: OverloadBasis | undefined;
   /** Whether a server ended the connection of an attempt. */
   #isDisconnected = false;
+  /** Whether a further server was not tried since the retry budget was used up. */
+  #lacksBudget = false;
 
   private constructor(
     private readonly dependencies: RequestDependencies,
@@ -324,7 +326,8 @@
         (attempt.kind === 'notRun' || isRetriable(route)) &&
         answer.isContinuable &&
         !this.#abortController.signal.aborted;
-      if (!isAllowed || !dispatcher.retryBudget.withdraw(service)) {
+      if (isAllowed && !dispatcher.retryBudget.withdraw(service)) this.#lacksBudget = true;
+      if (!isAllowed || this.#lacksBudget) {
         const reason = verdict === 'notRun' ? 'serverRefused' : attempt.kind;
         this.#endWithoutResponse(reason, verdict, otherRouterRetryAfter);
         return;
@@ -642,6 +645,7 @@
       acceptWait: round(this.#acceptWait),
       reportAge: round(dispatcher.reportAge()),
       basis: basis === undefined ? undefined : roundBasis(basis),
+      lacksBudget: this.#lacksBudget ? true : undefined,
       attempts: this.#attemptLog,
     });
   }
