--- a/packages/standins/src/stack/server.ts
+++ b/packages/standins/src/stack/server.ts
@@ -59,6 +59,8 @@
   /** Calls for the list of kept parts. */
   listCalls = 0;
   eventPause = 5;
+  /** A silence in the middle of its streams, after the event with this number; undefined for none. */
+  silence: { readonly after: number; readonly duration: Milliseconds } | undefined;
   /** Time before a plain answer. */
   answerPause: Milliseconds = 0;
   /** Prompt part under which the server ends as soon as it begins to write an answer. */
@@ -313,10 +315,12 @@
       this.#give(exchange, 200, signed, body);
     } else {
       response.writeHead(200, { ...signed, 'content-type': type });
+      const { silence } = this;
       for (const event of eventsOf(body)) {
         if (response.destroyed) return;
         response.write(event);
-        await pause(this.eventPause);
+        const isSilent = silence !== undefined && event === eventOf(silence.after);
+        await pause(isSilent ? silence.duration : this.eventPause);
       }
       this.given.push({ id, status: 200, body });
       socket.cork();
