routing: judge the continuation of a response by what its caller has, not as a new request

What callers saw: a stream older than some two seconds was broken off as soon as its server fell silent for 1.3 s, or failed, though other servers were free (LOST). Cause: the rest of a response was admitted like a new request.

--- a/packages/coordination/src/routing/admission.test.ts
+++ b/packages/coordination/src/routing/admission.test.ts
@@ -291,3 +291,22 @@
   admission.placeQueued();
   assert.deepEqual(await result, { kind: 'refused', reason: 'noServer', retryAfter: 1_000 });
 });
+
+// Guards against LOST: a response that has begun is broken off at once, since no server is usable at that moment.
+test('a response that its caller has a part of waits for a usable server as long as its caller does', async () => {
+  const clock = Clock.manual();
+  const admission = Admission.create(clock, WorkTimer.create(clock), {
+    snapshot: () => ({ place: () => ({ kind: 'none' }), received: () => 0, mostReceived: () => 0 }),
+  });
+  await clock.advance(6_000);
+  const arrived = clock.now() - 5_000;
+  const firstEventDeadline = clock.now() + 2_000;
+  const changes = { isContinuation: true, arrived, targetTime: arrived + 800, firstEventDeadline };
+  const result = admission.admit(job(clock, changes), never);
+  await clock.advance(1_700);
+  admission.placeQueued();
+  assert.equal(admission.length, 1);
+  await clock.advance(300);
+  admission.placeQueued();
+  assert.equal((await result).kind, 'refused');
+});
--- a/packages/coordination/src/routing/admission.ts
+++ b/packages/coordination/src/routing/admission.ts
@@ -21,7 +21,7 @@
   readonly arrived: Milliseconds;
   /** Time by which the first event of a stream, or the response, should arrive. */
   readonly targetTime: Milliseconds;
-  /** Time at which the caller gives up if nothing has arrived. */
+  /** Time at which the caller gives up if nothing, or nothing more, has arrived. */
   readonly firstEventDeadline: Milliseconds;
   /** Time after which the response is useless. */
   readonly deadline: Milliseconds;
@@ -293,7 +293,7 @@
             this.#settle(queued, { kind: 'refused', reason: 'noServer', retryAfter: availableIn });
           return;
         }
-        if (now - job.arrived >= (job.targetTime - job.arrived) * noServerWaitFraction)
+        if (now > latestWithoutServer(job))
           this.#settle(queued, refusal('noServer', defaultRetryDelay));
       }
     }
@@ -360,11 +360,21 @@
   }
 }
 
-/** Latest time of the first event with which the response can still be complete by the deadline. */
+/**
+ * Latest time of the first event with which the response can still be complete by the deadline. How much is left of a response
+ * that has begun is not known; it is continued as long as its caller waits.
+ */
 export function latestFirstEvent(job: Job): Milliseconds {
-  const { arrived, deadline, duration, firstEventDeadline } = job;
+  const { arrived, deadline, duration, firstEventDeadline, isContinuation } = job;
   const responseTime = duration?.expected ?? responseFraction * (deadline - arrived);
-  return Math.min(deadline - responseTime, firstEventDeadline - firstEventMargin);
+  const latestBegin = isContinuation ? deadline : deadline - responseTime;
+  return Math.min(latestBegin, firstEventDeadline - firstEventMargin);
+}
+
+/** Latest time until which the request waits for a server to become usable if none is. */
+function latestWithoutServer(job: Job): Milliseconds {
+  if (job.isContinuation) return latestFirstEvent(job);
+  return job.arrived + (job.targetTime - job.arrived) * noServerWaitFraction;
 }
 
 /**
--- a/packages/coordination/src/routing/dispatcher.test.ts
+++ b/packages/coordination/src/routing/dispatcher.test.ts
@@ -271,3 +271,20 @@
   const enough = await settled(clock, router.acquire(request(clock), never));
   assert.equal(enough?.kind, 'server');
 });
+
+// Guards against LOST: a stream is broken off where its server fails later than its first event was due, though others are free.
+test('a response that has begun is continued however old the request is', async () => {
+  const clock = Clock.manual(20_000);
+  const router = dispatcher(clock);
+  router.applyServers([server('a'), server('b')], false);
+  const begun = request(clock, {
+    arrived: clock.now() - 8_000,
+    deadline: clock.now() + 4_000,
+    avoid: new Set(['a']),
+    isContinuation: true,
+    progressedAt: clock.now() - 1_300,
+  });
+  const grant = await settled(clock, router.acquire(begun, never));
+  assert.ok(grant?.kind === 'server');
+  assert.equal(grant.server.id, 'b');
+});
--- a/packages/coordination/src/routing/dispatcher.ts
+++ b/packages/coordination/src/routing/dispatcher.ts
@@ -81,6 +81,8 @@
   readonly avoid: ReadonlySet<string>;
   /** Whether the caller already has a part of the response. */
   readonly isContinuation?: boolean;
+  /** When the caller got the last part of it; left out if it has none. */
+  readonly progressedAt?: Milliseconds | undefined;
 }
 
 /** A server for one attempt of a request. The caller has to call `finish` exactly once. */
@@ -257,7 +259,8 @@
       priority: request.team?.priority ?? request.route.priority,
       arrived: request.arrived,
       targetTime: request.arrived + request.route.aim,
-      firstEventDeadline: request.arrived + request.route.patience,
+      // A caller that has a part of the response waits for the next one, however old the request is.
+      firstEventDeadline: (request.progressedAt ?? request.arrived) + request.route.patience,
       deadline: request.deadline,
       stopsAt: request.stopsAt ?? Infinity,
       duration: this.#durationOf(request),
--- a/packages/gateway/src/requestHandler.ts
+++ b/packages/gateway/src/requestHandler.ts
@@ -123,6 +123,8 @@
   /** Aborts a wait for a server. */
   #waitController = new AbortController();
   #firstByte: Milliseconds | undefined;
+  /** When bytes of a response were last forwarded. */
+  #forwardedAt: Milliseconds | undefined;
   #acceptWait: Milliseconds | undefined;
   #route: Route | undefined;
   #team: Team | undefined;
@@ -289,6 +291,7 @@
         deadline,
         avoid,
         isContinuation: this.#callerResponse.isOpen,
+        progressedAt: this.#forwardedAt,
       });
       if (grant.kind === 'refused') {
         this.#basis = grant.basis;
@@ -494,7 +497,7 @@
           const result = await run.take(part.bytes);
           callbacks.wait();
           if (result.kind === 'unusable') return this.#brokenAttempt(result.detail);
-          if (result.kind === 'handedOn') this.#recordFirstByte();
+          if (result.kind === 'handedOn') this.#recordForwarding();
           break;
         }
         case 'end': {
@@ -502,7 +505,7 @@
           if (run === undefined) return this.#brokenAttempt('no answer');
           const result = run.end();
           if (result.kind === 'unusable') return this.#brokenAttempt(result.detail);
-          this.#recordFirstByte();
+          this.#recordForwarding();
           return { kind: 'delivered', status };
         }
         case 'failed':
@@ -538,8 +541,10 @@
     return { kind: this.#callerResponse.isOpen ? 'cut' : 'failed', detail, isDisconnected };
   }
 
-  #recordFirstByte(): void {
-    this.#firstByte ??= this.dependencies.clock.now() - this.#arrivedAt;
+  #recordForwarding(): void {
+    const now = this.dependencies.clock.now();
+    this.#firstByte ??= now - this.#arrivedAt;
+    this.#forwardedAt = now;
   }
 
   #reply(status: number, reason: string, headers: Readonly<Record<string, string>> = {}): void {
