gateway: give a silent server up only when another one takes over

Cause: the silence timer closed the attempt first and asked for the retry budget and a server afterwards; either could say no. Now the search runs while the response is still awaited: the attempt is closed when the budget has been taken and a server granted, a search ends when bytes come, and it is repeated while the silence lasts.

--- a/packages/coordination/src/routing/retryBudget.ts
+++ b/packages/coordination/src/routing/retryBudget.ts
@@ -42,13 +42,18 @@
     this.#account(service).requests.add(1);
   }
 
-  /** Takes one retry; returns false if this router's share of the window is used up. */
-  withdraw(service: string): boolean {
+  /** Whether one more retry is within this router's share of the window. */
+  allows(service: string): boolean {
     const { requests, retries } = this.#account(service);
     const { ratio, slack } = this.bound;
     const share = usedFraction * (ratio * requests.total() + slack / Math.max(1, this.fleetSize()));
-    if (retries.total() + 1 > share) return false;
-    retries.add(1);
+    return retries.total() + 1 <= share;
+  }
+
+  /** Takes one retry; returns false if this router's share of the window is used up. */
+  withdraw(service: string): boolean {
+    if (!this.allows(service)) return false;
+    this.#account(service).retries.add(1);
     return true;
   }
 
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -1,10 +1,10 @@
 // The outcome of one attempt at a server, what it says about the server's health, and how it is logged.
 
-import type { ServerOutcome } from '@catkinwheel/coordination/routing';
+import type { Grant, ServerOutcome } from '@catkinwheel/coordination/routing';
 import { isMisdirected } from '@catkinwheel/platform';
 
 /** Why this router ended an attempt. */
-export type AbortCause = 'callerGone' | 'deadline' | 'silence' | 'stopping';
+export type AbortCause = 'callerGone' | 'deadline' | 'stopping';
 
 /**
  * How one attempt at a server ended. `isDisconnected`: the server ended the connection, or something between did, before
@@ -21,6 +21,8 @@
   | { readonly kind: 'failed'; readonly detail: string; readonly isDisconnected: boolean }
   /** The response broke off after a part of it was forwarded. */
   | { readonly kind: 'cut'; readonly detail: string; readonly isDisconnected: boolean }
+  /** The server was silent, and another one takes over. */
+  | { readonly kind: 'replaced'; readonly by: Grant }
   | { readonly kind: 'ended'; readonly cause: AbortCause };
 
 /** The log entry of one attempt. Times in ms. */
@@ -54,8 +56,10 @@
     case 'failed':
     case 'cut':
       return attempt.isDisconnected ? 'disconnected' : 'failed';
+    case 'replaced':
+      return 'failed';
     case 'ended':
-      return attempt.cause === 'silence' ? 'failed' : undefined;
+      return undefined;
   }
 }
 
@@ -65,6 +69,8 @@
     case 'delivered':
     case 'notRun':
       return `${attempt.kind} ${attempt.status}`;
+    case 'replaced':
+      return 'ended by silence';
     case 'ended':
       return `ended by ${attempt.cause}`;
     case 'unsent':
--- a/packages/gateway/src/requestHandler.ts
+++ b/packages/gateway/src/requestHandler.ts
@@ -40,14 +40,15 @@
 import type { Log } from './log.js';
 import type { Metrics } from './metrics.js';
 import { readBody } from './requestBody.js';
+import { SilenceWatch, type ServerSearch } from './silenceWatch.js';
 import type { Outgoing, ServerConnections } from './serverConnections.js';
 
 /**
- * A retriable response without bytes for this time is requested from another server, or continued there if it is a
- * stream; callers abandon a silent stream after about 2 s.
+ * Another server is sought for a retriable response without bytes for this time, or for the rest of it if it is a stream;
+ * callers abandon a silent stream after about 2 s.
  */
 const silenceTimeout: Milliseconds = 1_300;
-/** A retriable request is sent to another server when its first bytes are later than predicted by this time. */
+/** Another server is sought for a retriable request when its first bytes are later than predicted by this time. */
 const firstBytesMargin: Milliseconds = 1_500;
 /** Bounds on reading a discarded response to its end, which keeps its connection reusable. */
 const discardTimeout: Milliseconds = 200;
@@ -108,6 +109,8 @@
   /** Whether the request may be sent to a further server. */
   readonly mayRetry: boolean;
   readonly answer: ResponseAssembler;
+  /** Finds a server that takes over if this one is silent. */
+  readonly findReplacement: ServerSearch;
 }
 
 /** A request that is being served. */
@@ -181,11 +184,7 @@
     try {
       await this.#serve();
     } catch (error) {
-      this.dependencies.log.write('request failed inside the router', {
-        id: this.#head.id,
-        path: request.url,
-        detail: error instanceof Error ? (error.stack ?? error.message) : String(error),
-      });
+      this.#logFault(error);
       this.#fail('internal', 'mayHaveRun');
     } finally {
       socket.off('close', onClose);
@@ -195,6 +194,14 @@
     }
   }
 
+  #logFault(error: unknown): void {
+    this.dependencies.log.write('request failed inside the router', {
+      id: this.#head.id,
+      path: this.request.url,
+      detail: error instanceof Error ? (error.stack ?? error.message) : String(error),
+    });
+  }
+
   async #serve(): Promise<void> {
     const { dispatcher, stops, isBehind } = this.dependencies;
     const { table } = dispatcher;
@@ -249,9 +256,8 @@
   }
 
   /** Finds a server; asks again if a planned stop becomes known meanwhile. */
-  async #acquire(request: Request): Promise<Grant | Rejection> {
+  async #acquire(request: Request, signal: AbortSignal): Promise<Grant | Rejection> {
     const { dispatcher, stops } = this.dependencies;
-    const { signal } = this.#abortController;
     for (;;) {
       const wait = new AbortController();
       this.#waitController = wait;
@@ -281,37 +287,48 @@
     const answer = ResponseAssembler.create(clock, this.#callerResponse, route);
     let verdict: Verdict = 'notRun';
     let sentCount = 0;
+    let replacement: Grant | undefined;
+    const requestWithout = (servers: ReadonlySet<string>): Request => ({
+      route,
+      service,
+      team: this.#team,
+      prompt: this.#head.prompt,
+      arrived: this.#arrivedAt,
+      deadline,
+      avoid: servers,
+      isContinuation: this.#callerResponse.isOpen,
+      progressedAt: this.#forwardedAt,
+    });
     for (let tries = 0; tries < maxServerTries; tries += 1) {
-      const grant = await this.#acquire({
-        route,
-        service,
-        team: this.#team,
-        prompt: this.#head.prompt,
-        arrived: this.#arrivedAt,
-        deadline,
-        avoid,
-        isContinuation: this.#callerResponse.isOpen,
-        progressedAt: this.#forwardedAt,
-      });
+      const grant: Grant | Rejection =
+        replacement ?? (await this.#acquire(requestWithout(avoid), this.#abortController.signal));
+      replacement = undefined;
       if (grant.kind === 'refused') {
         this.#basis = grant.basis;
         this.#endWithoutResponse(grant.reason, verdict, grant.retryAfter);
         return;
       }
       if (tries === 0) metrics.waiting.observe((clock.now() - this.#arrivedAt) / 1_000);
-      const mayRetry = sentCount + 1 < route.maxAttempts && isRetriable(route);
-      const options = { route, grant, body, deadline, mayRetry, answer };
-      const attempt = await this.#runAttempt(options);
       avoid.add(grant.server.id);
+      const mayRetry =
+        sentCount + 1 < route.maxAttempts && tries + 1 < maxServerTries && isRetriable(route);
+      const findReplacement: ServerSearch = (signal) =>
+        this.#findReplacement(requestWithout(avoid), signal);
+      const options = { route, grant, body, deadline, mayRetry, answer, findReplacement };
+      const attempt = await this.#runAttempt(options);
       switch (attempt.kind) {
         case 'delivered':
           this.#finish('delivered');
           return;
         case 'ended':
-          verdict = 'mayHaveRun';
-          if (attempt.cause === 'silence') break;
-          this.#fail(attempt.cause, verdict);
+          this.#fail(attempt.cause, 'mayHaveRun');
           return;
+        case 'replaced':
+          verdict = 'mayHaveRun';
+          sentCount += 1;
+          replacement = attempt.by;
+          metrics.repeats.inc({ reason: 'silence' });
+          continue;
         case 'unsent':
           continue;
         case 'notRun':
@@ -340,12 +357,31 @@
     this.#endWithoutResponse('unreachable', verdict, otherRouterRetryAfter);
   }
 
+  /** Finds a server that takes over from one that is silent. */
+  async #findReplacement(request: Request, signal: AbortSignal): Promise<Grant | undefined> {
+    const { retryBudget } = this.dependencies.dispatcher;
+    this.#lacksBudget = !retryBudget.allows(request.service);
+    if (this.#lacksBudget) return undefined;
+    try {
+      const grant = await this.#acquire(request, signal);
+      if (grant.kind === 'refused') return undefined;
+      if (!signal.aborted && retryBudget.withdraw(request.service)) return grant;
+      grant.finish();
+    } catch (error) {
+      this.#logFault(error);
+    }
+    return undefined;
+  }
+
   async #runAttempt(options: AttemptOptions): Promise<AttemptOutcome> {
     const { route, grant, body, deadline, mayRetry, answer } = options;
     const { clock, connections, metrics, dispatcher, log } = this.dependencies;
     const { server } = grant;
     const sentAt = clock.now();
     const silenceController = new AbortController();
+    const watch = SilenceWatch.create(options.findReplacement, () => {
+      silenceController.abort('silence');
+    });
     const signal = this.#attemptSignal(route, silenceController.signal);
     const headers = encodeServerHeaders(this.request.headers, {
       server: server.id,
@@ -359,14 +395,10 @@
       headers,
       body: body.length > 0 ? body : null,
     };
-    let silenceTimer: NodeJS.Timeout | undefined;
+    let discardTimer: NodeJS.Timeout | undefined;
     const expectBytes = (within: Milliseconds): void => {
-      clearTimeout(silenceTimer);
-      // There is no silence timeout for a response that no other server can continue.
-      if (!mayRetry || !answer.isContinuable) return;
-      silenceTimer = setTimeout(() => {
-        silenceController.abort('silence');
-      }, within);
+      if (mayRetry && answer.isContinuable) watch.expect(within);
+      else watch.clear();
     };
     expectBytes(grant.predicted + firstBytesMargin);
     const forwardedBefore = this.#callerResponse.handedOn;
@@ -391,11 +423,11 @@
         grant.started();
         metrics.predictionError.observe((first - grant.predicted) / 1_000);
       }
-      clearTimeout(silenceTimer);
+      watch.clear();
     };
     const onDiscard = (): void => {
-      clearTimeout(silenceTimer);
-      silenceTimer = setTimeout(() => {
+      watch.clear();
+      discardTimer = setTimeout(() => {
         silenceController.abort('silence');
       }, discardTimeout);
     };
@@ -407,11 +439,13 @@
       progress: onProgress,
       wait: onWait,
       discard: onDiscard,
+      replacement: () => watch.replacement,
     };
     const attempt = await this.#forwardResponse(options, outgoing, signal, callbacks);
-    clearTimeout(silenceTimer);
-    const isSilent = attempt.kind === 'ended' && attempt.cause === 'silence';
-    if (isSilent) connections.retire(server.id);
+    watch.clear();
+    clearTimeout(discardTimer);
+    if (attempt.kind === 'replaced') connections.retire(server.id);
+    else watch.replacement?.finish();
     grant.finish(serverOutcomeOf(attempt));
     this.#attemptLog.push({
       server: server.id,
@@ -441,6 +475,8 @@
       readonly wait: () => void;
       /** The rest of the response is read and discarded. */
       readonly discard: () => void;
+      /** The server that takes over, if the attempt was aborted for silence. */
+      readonly replacement: () => Grant | undefined;
     },
   ): Promise<AttemptOutcome> {
     const { connections } = this.dependencies;
@@ -449,6 +485,10 @@
     let status = 0;
     let discard: AttemptOutcome | undefined;
     let discardedBytes = 0;
+    const replacedBy = (): AttemptOutcome | undefined => {
+      const by = signal.reason === 'silence' ? callbacks.replacement() : undefined;
+      return by === undefined ? undefined : { kind: 'replaced', by };
+    };
     const factsOf = (code: number, headers: ResponseHeaders): ResponseFacts =>
       decodeResponseHead(this.#head.id, code, headers);
     // A connection that carries another request's response may stay one response behind, so it is closed, not reused.
@@ -509,7 +549,7 @@
           return { kind: 'delivered', status };
         }
         case 'failed':
-          return this.#failedAttempt(part.failure, signal, discard);
+          return this.#failedAttempt(part.failure, signal, discard ?? replacedBy());
         case 'events':
         case 'alive':
           // Not used: bodies are requested as bytes.
@@ -519,16 +559,17 @@
     return this.#failedAttempt(
       mayHaveRun('connectionLost', 'the connection ended'),
       signal,
-      discard,
+      discard ?? replacedBy(),
     );
   }
 
+  /** `known` is what the attempt came to before it failed. */
   #failedAttempt(
     { verdict, reason, detail }: Failure,
     signal: AbortSignal,
-    discard: AttemptOutcome | undefined,
+    known: AttemptOutcome | undefined,
   ): AttemptOutcome {
-    if (discard !== undefined) return discard;
+    if (known !== undefined) return known;
     if (signal.aborted) {
       const cause = signal.reason as AbortCause;
       return { kind: 'ended', cause };
