coordination: give a silent server of a plain response up only when another one takes over

What callers saw: an idempotent plain response whose server paused for longer than ten of the longest recent responses was given up, and ended in a failure if there was no permit for another server or no retry budget, or if a part of the response had been forwarded, which no other server can continue. Now the permit is acquired and the budget charged while the response is still awaited, and the connection is closed only then. Streams are resumed at their server as before.

--- a/packages/coordination/src/attempt.ts
+++ b/packages/coordination/src/attempt.ts
@@ -46,6 +46,8 @@
   readonly deadline: Milliseconds;
   /** Silence timeout of the connection of a plain response; undefined for none. */
   readonly plainSilenceTimeout: Milliseconds | undefined;
+  /** Whether another server is ready to take over from one that is silent. */
+  readonly replace: (signal: AbortSignal) => Promise<boolean>;
 }
 
 /** Runs one attempt and settles its permit. */
@@ -124,13 +126,14 @@
   }
 
   #createGuard(caller: AbortSignal | undefined): ConnectionGuard {
-    const { handle, deadline, plainSilenceTimeout } = this.#plan;
+    const { handle, deadline, plainSilenceTimeout, replace } = this.#plan;
     const silenceTimeout = this.#isModelStream ? streamSilenceTimeout : plainSilenceTimeout;
     return this.#ports.watchdog.guard({
       caller,
       revoked: handle.revoked,
       deadline,
       silenceTimeout,
+      replace: this.#isModelStream ? undefined : replace,
     });
   }
 
--- a/packages/coordination/src/connectionGuard.ts
+++ b/packages/coordination/src/connectionGuard.ts
@@ -7,6 +7,8 @@
 export const streamSilenceTimeout: Milliseconds = 2_000;
 /** Interval of checking the time limits. All connections share one timer, because few ever reach a limit. */
 const checkInterval: Milliseconds = 100;
+/** Pause between two searches for another server while the silence lasts. */
+const searchInterval: Milliseconds = 1_000;
 
 /** Why a connection must be closed. */
 export type AbortReason = Extract<
@@ -23,6 +25,11 @@
   readonly deadline: Milliseconds;
   /** Maximum time without a byte while the server is due to send; undefined without a limit. */
   readonly silenceTimeout: Milliseconds | undefined;
+  /**
+   * Called after that time: whether another server is ready to take over, so that the connection is to be closed. Aborting
+   * `signal` ends the search. Undefined if the connection is closed in any case, since its server gives the rest on another.
+   */
+  readonly replace: ((signal: AbortSignal) => Promise<boolean>) | undefined;
 }
 
 /** Checks the time limits of all server connections. */
@@ -74,6 +81,8 @@
   #reason: AbortReason | undefined;
   /** When the wait for the next byte of the server began; undefined while none is due. */
   #awaitingSince: Milliseconds | undefined;
+  /** The search for another server. */
+  #search: AbortController | undefined;
 
   private constructor(clock: Clock, options: GuardOptions, onClose: () => void) {
     this.#clock = clock;
@@ -100,6 +109,7 @@
   /** Marks whether the server is due to send; only such time counts as silence. */
   setAwaiting(isAwaited: boolean): void {
     this.#awaitingSince = isAwaited ? this.#clock.now() : undefined;
+    this.#endSearch();
   }
 
   /** Aborts the signal if a time limit has passed. */
@@ -107,10 +117,11 @@
     const now = this.#clock.now();
     const { deadline, silenceTimeout = Infinity } = this.#options;
     if (now >= deadline) this.#abort('deadline');
-    else if (now - (this.#awaitingSince ?? now) >= silenceTimeout) this.#abort('silentConnection');
+    else if (now - (this.#awaitingSince ?? now) >= silenceTimeout) this.#onSilence(silenceTimeout);
   }
 
   close(): void {
+    this.#endSearch();
     this.#options.caller?.removeEventListener('abort', this.#onCallerAbort);
     this.#options.revoked.removeEventListener('abort', this.#onRevoked);
     this.#onClose();
@@ -124,6 +135,29 @@
     else if (revoked.aborted) this.#abort('revoked');
   }
 
+  /** A sound server may pause and go on, so it is awaited until another one is ready. */
+  #onSilence(timeout: Milliseconds): void {
+    const { replace } = this.#options;
+    if (replace === undefined) {
+      this.#abort('silentConnection');
+      return;
+    }
+    if (this.#search !== undefined) return;
+    const search = new AbortController();
+    this.#search = search;
+    void replace(search.signal).then((isReady) => {
+      if (this.#search !== search) return;
+      this.#search = undefined;
+      if (isReady) this.#abort('silentConnection');
+      else this.#awaitingSince = this.#clock.now() - timeout + searchInterval;
+    });
+  }
+
+  #endSearch(): void {
+    this.#search?.abort();
+    this.#search = undefined;
+  }
+
   #abort(reason: AbortReason): void {
     if (this.#reason !== undefined) return;
     this.#reason = reason;
--- a/packages/coordination/src/execution.ts
+++ b/packages/coordination/src/execution.ts
@@ -77,6 +77,8 @@
   #verdict: Verdict = 'notRun';
   /** The last part of a claimed request's response, forwarded only once the response is recorded. */
   #withheldPart: ResponsePart | undefined;
+  /** The permit for a server that takes over from one that is silent; the retry budget has been charged for it. */
+  #replacement: PermitHandle | undefined;
   #attempts = 0;
   #moves = 0;
   /** Whether admission refused a permit, which ends the request. */
@@ -117,6 +119,7 @@
         return;
       }
     } finally {
+      this.#replacement?.finish('unused', null, 0);
       // Only takes effect if the consumer stopped reading early: a claim that has ended ignores this.
       await claim?.endFailed('mayHaveRun');
     }
@@ -166,7 +169,7 @@
 
   /** Waits for a permit and makes the last checks before sending. */
   async #prepareAttempt(caller: AbortSignal): Promise<Result<AttemptRun, Failure>> {
-    const acquired = await this.#ports.permits.acquire(this.#permitRequest(), caller);
+    const acquired = await this.#acquirePermit(caller);
     if (acquired.isErr()) {
       this.#isPermitRefused = true;
       return err(acquired.error);
@@ -184,6 +187,38 @@
     return err(refused ?? serverRemoved);
   }
 
+  async #acquirePermit(caller: AbortSignal): Promise<Result<PermitHandle, Failure>> {
+    const replacement = this.#replacement;
+    this.#replacement = undefined;
+    return replacement === undefined
+      ? await this.#ports.permits.acquire(this.#permitRequest(), caller)
+      : ok(replacement);
+  }
+
+  /** Acquires a permit to take over from a silent server; returns whether there is one. */
+  async #findReplacement(signal: AbortSignal): Promise<boolean> {
+    const { budget, permits } = this.#ports;
+    const { service } = this.#target.entry;
+    if (!this.#isSafeToRetry || !budget.allows(service)) return false;
+    this.#avoidLastServer();
+    const acquired = await permits.acquire(this.#permitRequest(), signal);
+    if (acquired.isErr()) return false;
+    const handle = acquired.value;
+    const isUsable = !signal.aborted && !this.#isPermitDeclined(handle.permit.server);
+    if (isUsable && budget.withdraw(service)) {
+      this.#replacement = handle;
+      return true;
+    }
+    handle.finish('unused', null, 0);
+    return false;
+  }
+
+  #avoidLastServer(): void {
+    const server = this.#lastServer;
+    if (server !== undefined && !this.#avoidedServers.includes(server))
+      this.#avoidedServers = [...this.#avoidedServers, server];
+  }
+
   /**
    * Whether to decline a permit because its server already failed this request and other servers exist.
    * A server that refuses connections always has free permits, so a request could spend all its attempts
@@ -224,6 +259,7 @@
       plainSilenceTimeout: hasSilenceTimeout
         ? this.#ports.silenceTimeouts.timeout(entry.service)
         : undefined,
+      replace: (signal: AbortSignal) => this.#findReplacement(signal),
     };
     const run = AttemptRun.create(this.#ports, plan, this.#progress);
     this.#lastAttempt = run;
@@ -235,10 +271,7 @@
     this.#verdict = moreSevere(this.#verdict, failure.verdict);
     const refusal = caller.aborted ? failure : this.#reasonNotToRetry(failure);
     if (refusal !== undefined) return { ...refusal, verdict: this.#verdict };
-    const server = this.#lastServer;
-    if (server !== undefined && !this.#avoidedServers.includes(server)) {
-      this.#avoidedServers = [...this.#avoidedServers, server];
-    }
+    this.#avoidLastServer();
     this.#ports.metrics.count('request.retried', { reason: failure.reason });
     return undefined;
   }
@@ -251,7 +284,10 @@
     }
     if (this.#attempts >= maxAttempts) return noFurtherAttempt('retriesExhausted', failure);
     // The budget protects servers from repeated work; an attempt that was not sent causes none.
-    const isAllowed = isUnsent(failure) || this.#ports.budget.withdraw(this.#target.entry.service);
+    const isAllowed =
+      isUnsent(failure) ||
+      this.#replacement !== undefined ||
+      this.#ports.budget.withdraw(this.#target.entry.service);
     return isAllowed ? undefined : noFurtherAttempt('retryBudget', failure);
   }
 
@@ -290,6 +326,7 @@
   }
 
   async #backOff(caller: AbortSignal): Promise<void> {
+    if (this.#replacement !== undefined) return;
     const doublings = Math.max(0, this.#attempts + this.#moves - 1);
     const maxDelay = Math.min(maxBackoff, initialBackoff * 2 ** doublings);
     await this.#ports.clock.sleep(maxDelay * this.#ports.random(), caller);
--- a/packages/coordination/src/retryBudget.ts
+++ b/packages/coordination/src/retryBudget.ts
@@ -37,10 +37,15 @@
     this.#accounts.set(service, { ...account, balance });
   }
 
+  /** Whether the budget has one more retry. */
+  allows(service: ServiceName): boolean {
+    return this.#account(service).balance >= 1;
+  }
+
   /** Takes one retry; false if the budget is used up. */
   withdraw(service: ServiceName): boolean {
     const account = this.#account(service);
-    if (account.balance < 1) return false;
+    if (!this.allows(service)) return false;
     this.#accounts.set(service, { ...account, balance: account.balance - 1 });
     return true;
   }
