soak: servers that fall silent in their streams, beside a change of the desired state

A phase without other faults now lets all servers fall silent for 1.7 s in each stream, with more callers than the retry budget covers, and loses nothing.

--- a/packages/standins/src/stack/soak.ts
+++ b/packages/standins/src/stack/soak.ts
@@ -24,6 +24,10 @@
 const grace: Milliseconds = 5_000;
 /** Time that responses take during the planned stops at the end. */
 const slowAnswer: Milliseconds = 1_500;
+/** Time for which servers fall silent in the middle of their streams; callers wait for 2 s. */
+const serverSilence: Milliseconds = 1_700;
+/** Callers at each router meanwhile: more than the retry budget covers. */
+const silenceCallers = 16;
 /** Time between two faults, and duration of a fault, at random within these. */
 const quiet = { least: 100, most: 900 } as const;
 const lasting = { least: 200, most: 3_000 } as const;
@@ -96,6 +100,7 @@
       await Promise.all(soak.#busy.values());
       await soak.#heal();
       await soak.#calmChanges();
+      await soak.#calmSilence();
       await soak.#calmStops();
       soak.#ended.abort();
       await Promise.all(callers);
@@ -337,6 +342,26 @@
     await Promise.all([...changes, this.#changeState()]);
   }
 
+  /**
+   * With nothing else wrong all servers fall silent in each stream and go on, beside a change of the desired state; no request may
+   * be lost by it.
+   */
+  async #calmSilence(): Promise<void> {
+    for (const { server } of this.#backends)
+      server.silence = { after: streamLength / 2, duration: serverSilence };
+    const stopped = new AbortController();
+    const sending = this.#nodes.flatMap((node) =>
+      Array.from({ length: silenceCallers }, (_, index) =>
+        this.#callers.runAt(node, `silence-${index}`, stopped.signal),
+      ),
+    );
+    await this.#changeState();
+    stopped.abort();
+    const lost = (await Promise.all(sending)).flat();
+    for (const { server } of this.#backends) server.silence = undefined;
+    if (lost.length > 0) this.#checks.violate(`servers that fell silent: lost ${lost.join()}`);
+  }
+
   /**
    * With nothing else wrong some routers are stopped in turn, while responses take a good part of the grace; no request may be
    * lost by it.
