routing: keep what is known of a server by its instance: id, address and start time

Cause: the pool of connections of a server was kept by id, with the address of its first instance, and dropped only when the id left the table. Health, loads, prefix caches and the rate of cold servers were kept by id too; hold-offs, departures and crash evidence by id and start time, which a registration may lack.

The fix: ServerInstance is id, address and start time; InstanceMap keeps a value for the latest instance of an id and drops late news of a former one. Every module that keeps something for a server uses it, pools use its key, and ServerTable.update and Dispatcher.#forget are the one path on which an instance changes. A registration with an earlier start time than one known is passed over. Requests at a former instance keep their connection and their own load counter. Loads that other routers reported by id, and cached parts that are not reported yet, are dropped when another instance takes the id.

Some unit tests name whole instances now, since the calls take them; what they check is unchanged.

--- a/packages/coordination/src/routing/coldStart.ts
+++ b/packages/coordination/src/routing/coldStart.ts
@@ -4,6 +4,7 @@
 
 import type { Clock, Milliseconds } from '@catkinwheel/state';
 import { ranking } from '../rendezvous.js';
+import { InstanceMap, type ServerInstance } from './serverInstance.js';
 
 /** Fraction of the bound that the fleet uses. The rest covers routers that disagree on the fleet's size. */
 const usedFraction = 0.5;
@@ -23,7 +24,7 @@
 
 /** Rate limiter of one router for cold servers. */
 export class ColdStartLimiter {
-  readonly #sent = new Map<string, readonly Milliseconds[]>();
+  readonly #sent = InstanceMap.create<readonly Milliseconds[]>();
 
   private constructor(
     private readonly clock: Clock,
@@ -48,24 +49,24 @@
   /**
    * Whether a request may be sent to the cold server now; `rate` is the number that it tolerates a second.
    */
-  allows(server: string, rate: number): boolean {
+  allows(server: ServerInstance, rate: number): boolean {
     return this.#recent(server).length < this.#share(server, rate);
   }
 
   /** Counts a request that is sent to the cold server. */
-  recordSent(server: string): void {
+  recordSent(server: ServerInstance): void {
     this.#sent.set(server, [...this.#recent(server), this.clock.now()]);
   }
 
   /** Requests that this router may send to the server in each period. */
-  #share(server: string, rate: number): number {
+  #share({ id }: ServerInstance, rate: number): number {
     const total = Math.floor(usedFraction * (rate * this.bound.factor + this.bound.slack));
     const routers = this.routers();
     if (routers.length <= total) return Math.floor(total / Math.max(1, routers.length));
-    return ranking(server, routers).slice(0, total).includes(this.self) ? 1 : 0;
+    return ranking(id, routers).slice(0, total).includes(this.self) ? 1 : 0;
   }
 
-  #recent(server: string): readonly Milliseconds[] {
+  #recent(server: ServerInstance): readonly Milliseconds[] {
     const start = this.clock.now() - period;
     return (this.#sent.get(server) ?? []).filter((time) => time > start);
   }
--- a/packages/coordination/src/routing/crashReports.ts
+++ b/packages/coordination/src/routing/crashReports.ts
@@ -4,7 +4,7 @@
 // merges the reports of all.
 
 import type { Clock, Milliseconds } from '@catkinwheel/state';
-import type { ServerInstance } from './departures.js';
+import { instanceKey, type ServerInstance } from './serverInstance.js';
 
 /** A shared prompt part of requests that had hardly begun at a server when their connections were lost. */
 export interface ImplicatedPart {
@@ -205,10 +205,6 @@
   return parts.reduce((sum, { requests }) => sum + requests, 0);
 }
 
-function instanceKey({ id, born }: ServerInstance): string {
-  return `${id} ${born ?? ''}`;
-}
-
 function keyOf({ reporter, server }: Pick<CrashReport, 'reporter' | 'server'>): string {
   return `${reporter} ${instanceKey(server)}`;
 }
--- a/packages/coordination/src/routing/departures.ts
+++ b/packages/coordination/src/routing/departures.ts
@@ -3,18 +3,12 @@
 // earlier, so an instance that is leaving stays so.
 
 import type { Clock, Milliseconds } from '@catkinwheel/state';
-
-/** One run of a server process; the next one may have the same id and address. */
-export interface ServerInstance {
-  readonly id: string;
-  /** Wall clock time of its start in milliseconds; undefined if its registration lacks it. */
-  readonly born: number | undefined;
-}
+import { InstanceMap, type ServerInstance } from './serverInstance.js';
 
 /** Where it is known from that an instance is leaving: its own responses, or its registration. */
 export type DepartureSource = 'response' | 'registration';
 
-interface Departure extends ServerInstance {
+interface Departure {
   readonly source: DepartureSource;
   readonly at: Milliseconds;
 }
@@ -25,9 +19,9 @@
  */
 const retention: Milliseconds = 600_000;
 
-/** The departures that one router knows, by server id. Only the newest instance of an id counts. */
+/** The departures that one router knows. Only the newest instance of an id counts. */
 export class Departures {
-  readonly #departures = new Map<string, Departure>();
+  readonly #departures = InstanceMap.create<Departure>();
 
   private constructor(private readonly clock: Clock) {}
 
@@ -36,32 +30,29 @@
   }
 
   /** Records that the instance is leaving. Returns whether that is news. */
-  record({ id, born }: ServerInstance, source: DepartureSource): boolean {
-    const known = this.#departures.get(id);
-    if (known !== undefined && (known.born ?? 0) > (born ?? 0)) return false;
-    const isNews = known?.born !== born || known === undefined;
-    if (!isNews && known.source === 'response') return false;
-    this.#departures.set(id, { id, born, source, at: this.clock.now() });
-    return isNews;
+  record(instance: ServerInstance, source: DepartureSource): boolean {
+    const known = this.#departures.get(instance);
+    if (known?.source === 'response') return false;
+    const isRecorded = this.#departures.set(instance, { source, at: this.clock.now() });
+    return isRecorded && known === undefined;
   }
 
-  has({ id, born }: ServerInstance): boolean {
-    const known = this.#departures.get(id);
-    return known !== undefined && known.born === born;
+  has(instance: ServerInstance): boolean {
+    return this.#departures.get(instance) !== undefined;
   }
 
   /** Instances that are known to leave from responses, the latest first. */
   announced(): readonly ServerInstance[] {
-    return [...this.#departures.values()]
-      .filter(({ source }) => source === 'response')
-      .sort((a, b) => b.at - a.at)
-      .map(({ id, born }) => ({ id, born }));
+    return [...this.#departures.entries()]
+      .filter(([, { source }]) => source === 'response')
+      .sort(([, a], [, b]) => b.at - a.at)
+      .map(([instance]) => instance);
   }
 
   /** Drops old departures of servers for which `isRegistered` is false. */
   expire(isRegistered: (id: string) => boolean): void {
     const oldest = this.clock.now() - retention;
-    for (const [id, { at }] of this.#departures)
-      if (at < oldest && !isRegistered(id)) this.#departures.delete(id);
+    for (const [instance, { at }] of this.#departures.entries())
+      if (at < oldest && !isRegistered(instance.id)) this.#departures.delete(instance);
   }
 }
--- a/packages/coordination/src/routing/dispatcher.ts
+++ b/packages/coordination/src/routing/dispatcher.ts
@@ -23,7 +23,6 @@
   type Load,
   type LoadMap,
 } from './loads.js';
-import type { ServerInstance } from './departures.js';
 import type { Prompt, Route, Server, Service, Team } from './model.js';
 import { chooseServer, type Candidate, type Placement, type Timing } from './placement.js';
 import { ResponseTimes, type ResponseDuration } from './responseTimes.js';
@@ -33,6 +32,7 @@
 import type { RouteTable } from './routeTable.js';
 import { ServerTable, type KnownServer } from './serverTable.js';
 import { ServerHealth, type HealthChange, type ServerOutcome } from './serverHealth.js';
+import type { ServerInstance } from './serverInstance.js';
 import { TeamUsage } from './teamUsage.js';
 import { TimeBudgets } from './timeBudgets.js';
 import type { WorkTimer } from './workTimer.js';
@@ -175,7 +175,7 @@
         options.onPart?.(change);
       },
       {
-        bornOf: (id) => this.servers.get(id)?.born,
+        instanceOf: (id) => this.servers.get(id),
         idAt: (address) => this.servers.idAt(address),
         isRefused: (address) => options.isRefused?.(address) ?? Promise.resolve(false),
       },
@@ -231,7 +231,7 @@
    * now.
    */
   recordHoldOff(instance: ServerInstance, duration: Milliseconds): boolean {
-    return this.#holdOffs.record(instance, duration);
+    return !this.servers.isReplaced(instance) && this.#holdOffs.record(instance, duration);
   }
 
   /** Servers that are leaving by their own word, to be reported to other routers. */
@@ -243,7 +243,7 @@
   evacuate(dataCentres: ReadonlySet<string>): void {
     for (const server of this.servers.all()) {
       const isBack = this.#evacuated.has(server.dataCentre) && !dataCentres.has(server.dataCentre);
-      if (isBack) this.servers.markCold(server.id, this.#service(server.service)?.warmup ?? 0);
+      if (isBack) this.servers.markCold(server, this.#service(server.service)?.warmup ?? 0);
     }
     this.#evacuated = dataCentres;
     this.#admission.placeQueued();
@@ -304,7 +304,7 @@
 
   /** Inference servers, which have a prefix cache. */
   engineServers(): readonly KnownServer[] {
-    return this.servers.all().filter(({ id }) => this.#engineMemoryOf(id) > 0);
+    return this.servers.all().filter((server) => this.#engineMemoryOf(server) > 0);
   }
 
   /** Prompt parts that are probably in the prefix caches of servers. */
@@ -315,8 +315,9 @@
   /** Adds prompt parts that other routers, or servers, report as cached. */
   addCachedParts(parts: readonly CachedPart[]): void {
     for (const { server, part, tokens } of parts) {
-      const memory = this.#engineMemoryOf(server);
-      if (memory > 0) this.#prefixCaches.add(server, memory, part, tokens);
+      const known = this.servers.get(server);
+      const memory = known === undefined ? 0 : this.#engineMemoryOf(known);
+      if (known !== undefined && memory > 0) this.#prefixCaches.add(known, memory, part, tokens);
     }
   }
 
@@ -423,14 +424,14 @@
     const server = this.servers.get(placement.id);
     if (server === undefined) return;
     const { clock } = this.options;
-    if (this.#hasColdRate(server)) this.#coldStart.recordSent(server.id);
-    const unreadBefore = this.#fleetLoad(server.id).unread;
-    const inFlight: InFlightRequest = this.#loads.begin(server.id, missing, memory);
+    if (this.#hasColdRate(server)) this.#coldStart.recordSent(server);
+    const unreadBefore = this.#fleetLoad(server).unread;
+    const inFlight: InFlightRequest = this.#loads.begin(server, missing, memory);
     const charge = this.#teamUsage.charge(job.team, job.cost);
     if (request.prompt !== undefined && service.engine !== undefined)
       this.#unreportedParts = [
         ...this.#unreportedParts,
-        ...this.#prefixCaches.recordPrefill(server.id, service.engine.memory, request.prompt),
+        ...this.#prefixCaches.recordPrefill(server, service.engine.memory, request.prompt),
       ];
     const run = this.#poisonGuard.begin(server, request.prompt, () => this.servers.mayEnd(server));
     const sent = clock.now();
@@ -493,12 +494,14 @@
   }
 
   #recordOutcome(server: KnownServer, service: Service, outcome: ServerOutcome): void {
-    const change = this.serverHealth.record(server.id, outcome);
+    // A request that was sent to a former instance says nothing about the present one.
+    if (!this.servers.isRegistered(server)) return;
+    const change = this.serverHealth.record(server, outcome);
     // It may have been unreachable because of a restart that its registration does not show yet.
-    if (change === 'back') this.servers.markCold(server.id, service.warmup);
+    if (change === 'back') this.servers.markCold(server, service.warmup);
     if (change !== undefined)
-      this.options.onServer?.(server.id, change, this.serverHealth.failureRate(server.id));
-    if (outcome === 'unreachable') this.#prefixCaches.forget(server.id);
+      this.options.onServer?.(server.id, change, this.serverHealth.failureRate(server));
+    if (outcome === 'unreachable') this.#prefixCaches.forget(server);
   }
 
   #leastReceived(): ReadonlyMap<string, number> {
@@ -512,7 +515,7 @@
   /** Servers of the service that may be sent requests, cold ones included. */
   #usableServers(service: string): readonly KnownServer[] {
     return this.#stayingServers(service).filter(
-      (server) => this.serverHealth.isUsable(server.id) && this.#holdOffs.remaining(server) === 0,
+      (server) => this.serverHealth.isUsable(server) && this.#holdOffs.remaining(server) === 0,
     );
   }
 
@@ -552,13 +555,15 @@
       candidates.push({
         id,
         slots: service.engine?.slots ?? server.slots,
-        load: this.#fleetLoad(id),
+        load: this.#fleetLoad(server),
         queuedAhead: ahead.get(id) ?? noLoad,
         // The team that has received least goes before all requests queued at other routers.
         queuedElsewhere: received <= least ? noLoad : this.#reports.waiting(id),
         uncachedTokens:
-          request.prompt === undefined ? 0 : this.#prefixCaches.uncachedTokens(id, request.prompt),
-        failureRate: this.serverHealth.failureRate(id),
+          request.prompt === undefined
+            ? 0
+            : this.#prefixCaches.uncachedTokens(server, request.prompt),
+        failureRate: this.serverHealth.failureRate(server),
         isInOwnDataCentre: server.dataCentre === this.options.dataCentre,
         yieldsRoom: received > yieldFactor * least,
       });
@@ -568,8 +573,8 @@
 
   #isFree(server: KnownServer): boolean {
     const { id, service, slots } = server;
-    if (!this.serverHealth.isUsable(id) || this.#holdOffs.remaining(server) > 0) return false;
-    const { unread, requests } = sumLoads(this.#fleetLoad(id), this.#reports.waiting(id));
+    if (!this.serverHealth.isUsable(server) || this.#holdOffs.remaining(server) > 0) return false;
+    const { unread, requests } = sumLoads(this.#fleetLoad(server), this.#reports.waiting(id));
     const engineTiming = this.#engineTiming(service);
     return (
       requests < slots * freeBatchFraction &&
@@ -578,8 +583,8 @@
   }
 
   /** Requests in flight at the server from the whole fleet, as far as this router knows. */
-  #fleetLoad(server: string): Load {
-    return sumLoads(this.#loads.at(server), this.#reports.load(server));
+  #fleetLoad(server: KnownServer): Load {
+    return sumLoads(this.#loads.at(server), this.#reports.load(server.id));
   }
 
   /** Whether the request may run in the server's region, and the server, if cold, has rate left for it. */
@@ -588,7 +593,7 @@
     const allows = (regions: readonly string[]): boolean =>
       regions.length === 0 || regions.includes(region);
     if (!allows(request.route.regions) || !allows(request.team?.regions ?? [])) return false;
-    return !this.#hasColdRate(server) || this.#coldStart.allows(server.id, service.coldRate);
+    return !this.#hasColdRate(server) || this.#coldStart.allows(server, service.coldRate);
   }
 
   #homesOf(service: string): PrefixHomes {
@@ -606,9 +611,7 @@
   /** Whether the server is limited to the request rate of a cold one. */
   #hasColdRate(server: KnownServer): boolean {
     const { coldRate = 0 } = this.#service(server.service) ?? {};
-    return (
-      coldRate > 0 && (this.servers.isCold(server) || this.serverHealth.isUnreachable(server.id))
-    );
+    return coldRate > 0 && (this.servers.isCold(server) || this.serverHealth.isUnreachable(server));
   }
 
   #timing(service: Service, route: Route): Timing {
@@ -628,16 +631,23 @@
     return this.#table?.service(name);
   }
 
-  #engineMemoryOf(server: string): number {
-    const service = this.servers.get(server)?.service;
-    return service === undefined ? 0 : (this.#service(service)?.engine?.memory ?? 0);
+  #engineMemoryOf({ service }: KnownServer): number {
+    return this.#service(service)?.engine?.memory ?? 0;
   }
 
-  /** Drops what was learned about servers that are gone or have restarted. */
-  #forget(ids: readonly string[]): void {
-    for (const id of ids) {
-      this.#prefixCaches.forget(id);
-      this.serverHealth.forget(id);
+  /** Drops what was learned about instances that are gone or that others have replaced. */
+  #forget(instances: readonly ServerInstance[]): void {
+    for (const instance of instances) {
+      const { id } = instance;
+      this.#prefixCaches.forget(instance);
+      this.serverHealth.forget(instance);
+      // One that is gone may be back soon, with its requests still in flight.
+      if (!this.servers.isReplaced(instance)) continue;
+      const isOther = ({ server }: CachedPart): boolean => server !== id;
+      this.#loads.forget(instance);
+      this.#reports.forget(id);
+      this.#unreportedParts = this.#unreportedParts.filter(isOther);
+      this.#summaryParts = this.#summaryParts.filter(isOther);
     }
   }
 }
--- a/packages/coordination/src/routing/index.ts
+++ b/packages/coordination/src/routing/index.ts
@@ -29,6 +29,7 @@
 export * from './tableReplica.js';
 export * from './serverTable.js';
 export * from './serverHealth.js';
+export * from './serverInstance.js';
 export * from './teamUsage.js';
 export * from './timeBudgets.js';
 export * from './workTimer.js';
--- a/packages/coordination/src/routing/loads.ts
+++ b/packages/coordination/src/routing/loads.ts
@@ -1,6 +1,8 @@
 // Requests in flight by server. Many routers choose among the same servers, and a server's own report is late;
 // routers exchange these counts so that they do not all choose the same server.
 
+import { InstanceMap, type ServerInstance } from './serverInstance.js';
+
 /** Requests in flight, or queued, for one server. */
 export interface Load {
   /** Prompt tokens that the server has yet to prefill: its prefill backlog. */
@@ -13,7 +15,7 @@
 
 export const noLoad: Load = { unread: 0, requests: 0, memory: 0 };
 
-/** Load by server. */
+/** Load by server id. */
 export type LoadMap = ReadonlyMap<string, Load>;
 
 /** A request in flight. `started` marks its first token; `finish` must be called once. */
@@ -22,21 +24,33 @@
   finish(): void;
 }
 
-/** Requests of this router in flight, by server. */
+/** The load of one instance, which requests in flight there change to their end. */
+interface Counter {
+  load: Load;
+}
+
+/** Requests of this router in flight, by server. Those at the former instance of an id do not count for the present one. */
 export class LocalLoads {
-  readonly #byServer = new Map<string, Load>();
+  readonly #counters = InstanceMap.create<Counter>();
 
   static create(): LocalLoads {
     return new LocalLoads();
   }
 
   /** Counts a request that is sent to the server. */
-  begin(server: string, unread: number, memory: number): InFlightRequest {
+  begin(server: ServerInstance, unread: number, memory: number): InFlightRequest {
     let isPrefillPending = true;
     let isFinished = false;
-    this.#change(server, { unread, requests: 1, memory });
+    const counter = this.#counters.get(server) ?? { load: noLoad };
+    this.#counters.set(server, counter);
+    const change = (by: Load): void => {
+      counter.load = sumLoads(counter.load, by);
+      const isCounted = this.#counters.get(server) === counter;
+      if (isCounted && counter.load.requests === 0) this.#counters.delete(server);
+    };
+    change({ unread, requests: 1, memory });
     const started = (): void => {
-      if (isPrefillPending) this.#change(server, { unread: -unread, requests: 0, memory: 0 });
+      if (isPrefillPending) change({ unread: -unread, requests: 0, memory: 0 });
       isPrefillPending = false;
     };
     return {
@@ -45,24 +59,23 @@
         if (isFinished) return;
         isFinished = true;
         started();
-        this.#change(server, { unread: 0, requests: -1, memory: -memory });
+        change({ unread: 0, requests: -1, memory: -memory });
       },
     };
   }
 
-  at(server: string): Load {
-    return this.#byServer.get(server) ?? noLoad;
+  at(server: ServerInstance): Load {
+    return this.#counters.get(server)?.load ?? noLoad;
   }
 
   /** Load that this router has in flight, by server. */
   all(): LoadMap {
-    return this.#byServer;
+    return new Map([...this.#counters.entries()].map(([{ id }, { load }]) => [id, load]));
   }
 
-  #change(server: string, by: Load): void {
-    const load = sumLoads(this.#byServer.get(server) ?? noLoad, by);
-    if (load.requests === 0) this.#byServer.delete(server);
-    else this.#byServer.set(server, load);
+  /** Stops counting an instance that another one has replaced. */
+  forget(server: ServerInstance): void {
+    this.#counters.delete(server);
   }
 }
 
--- a/packages/coordination/src/routing/model.ts
+++ b/packages/coordination/src/routing/model.ts
@@ -1,6 +1,7 @@
 // The data that routing decisions are based on: the operators' desired state, and the registered servers.
 
 import type { Milliseconds } from '@catkinwheel/state';
+import type { ServerInstance } from './serverInstance.js';
 
 /**
  * What may be retried. `idempotent` requests may run more than once, `nonIdempotent` ones at most once. `streaming`
@@ -92,20 +93,14 @@
 }
 
 /** A server as registered. */
-export interface Server {
-  /** Identifies one start of the server; requests can be addressed to it. */
-  readonly id: string;
+export interface Server extends ServerInstance {
   readonly service: string;
-  /** `host:port` */
-  readonly address: string;
   readonly dataCentre: string;
   /** Max requests that run at once. */
   readonly slots: number;
   readonly isLeaving: boolean;
   /** Remaining time as a cold server, as of the registration. */
   readonly coldLeft: Milliseconds;
-  /** Wall clock time of its start in milliseconds; undefined if the registration lacks it. */
-  readonly born: number | undefined;
 }
 
 /** A part of a prompt, which other requests may share and servers cache. */
--- a/packages/coordination/src/routing/poisonGuard.test.ts
+++ b/packages/coordination/src/routing/poisonGuard.test.ts
@@ -6,6 +6,7 @@
 import { Clock, type Milliseconds } from '@catkinwheel/state';
 import { PoisonGuard, type EndSources, type GuardedRun } from './poisonGuard.js';
 import type { Prompt } from './model.js';
+import type { ServerInstance } from './serverInstance.js';
 
 const step: Milliseconds = 10;
 const gossipInterval: Milliseconds = 100;
@@ -140,25 +141,26 @@
 
 /** Loses connections to five servers, one after the other, and says what is blocked then. */
 async function loseServers(
-  sources: EndSources,
+  sources: Omit<EndSources, 'instanceOf'>,
   registrationsGoAfter: Milliseconds,
 ): Promise<readonly string[]> {
   const clock = Clock.manual(0);
   const blocked: string[] = [];
-  const gone = new Set<string>();
+  const registered = new Map<string, ServerInstance>();
   const guard = PoisonGuard.create(
     clock,
     'r1',
     ({ part }) => {
       blocked.push(part);
     },
-    { ...sources, bornOf: (id) => (gone.has(id) ? undefined : 1) },
+    { ...sources, instanceOf: (id) => registered.get(id) },
   );
   for (const id of ['a', 'b', 'c', 'd', 'e']) {
     const server = { id, born: 1, address: `10.0.0.1:${id}` };
+    registered.set(id, server);
     guard.begin(server, promptOf('dead'), () => false).finished('disconnected');
     await clock.advance(registrationsGoAfter);
-    gone.add(id);
+    registered.delete(id);
     guard.recordRegistrations();
     await clock.advance(200);
     guard.tick();
@@ -166,8 +168,7 @@
   return blocked;
 }
 
-const listening: EndSources = {
-  bornOf: () => undefined,
+const listening: Omit<EndSources, 'instanceOf'> = {
   idAt: () => undefined,
   isRefused: () => Promise.resolve(false),
 };
--- a/packages/coordination/src/routing/poisonGuard.ts
+++ b/packages/coordination/src/routing/poisonGuard.ts
@@ -3,10 +3,10 @@
 
 import type { Clock, Milliseconds } from '@catkinwheel/state';
 import { CrashReports, type CrashEnd, type CrashReport } from './crashReports.js';
-import type { ServerInstance } from './departures.js';
 import type { Prompt } from './model.js';
 import { PoisonParts, type TimedPart } from './poisonParts.js';
 import type { ServerOutcome } from './serverHealth.js';
+import { isSameInstance, instanceKey, type ServerInstance } from './serverInstance.js';
 
 /**
  * Time for which a response has to go on after its first bytes to prove that the parts of its prompt are sound: a server that
@@ -30,16 +30,10 @@
   | { readonly kind: 'blocked'; readonly part: string; readonly ends: number | undefined }
   | { readonly kind: 'released'; readonly part: string };
 
-/** A server that a request is sent to. */
-export interface GuardedServer extends ServerInstance {
-  /** `host:port` */
-  readonly address: string;
-}
-
 /** What is known of registrations and addresses, to tell an end from a connection that was only lost. */
 export interface EndSources {
-  /** Start time that the registration of the server names; undefined if there is none. */
-  readonly bornOf: (id: string) => number | undefined;
+  /** The instance that is registered under the id. */
+  readonly instanceOf: (id: string) => ServerInstance | undefined;
   /** The server that is registered at the address. */
   readonly idAt: (address: string) => string | undefined;
   /** Whether connections to the address are refused, so that no process listens there. */
@@ -47,7 +41,7 @@
 }
 
 const noSources: EndSources = {
-  bornOf: () => undefined,
+  instanceOf: () => undefined,
   idAt: () => undefined,
   isRefused: () => Promise.resolve(false),
 };
@@ -63,9 +57,7 @@
 export class PoisonGuard {
   readonly #crashes: CrashReports;
   readonly #parts: PoisonParts;
-  /** Addresses of instances whose end is not confirmed, by id. */
-  readonly #addresses = new Map<string, string>();
-  /** Ids of instances whose addresses are being examined, or were. */
+  /** Keys of instances whose addresses are being examined, or were. */
   readonly #examined = new Set<string>();
   #hasNews = false;
 
@@ -95,7 +87,7 @@
   }
 
   /** Follows a request that is being sent. `isLeaving` tells whether its server may end as planned. */
-  begin(server: GuardedServer, prompt: Prompt | undefined, isLeaving: () => boolean): GuardedRun {
+  begin(server: ServerInstance, prompt: Prompt | undefined, isLeaving: () => boolean): GuardedRun {
     const parts = prompt === undefined ? [] : sharedParts(prompt);
     const sentAt = this.clock.now();
     let firstAt: Milliseconds | undefined;
@@ -123,7 +115,6 @@
           case 'disconnected':
             if (isProven || isLeaving()) return;
             this.#crashes.recordLoss(server, parts);
-            this.#addresses.set(server.id, server.address);
             this.#examine(server);
             break;
           case 'unreachable':
@@ -146,33 +137,31 @@
   }
 
   /**
-   * Looks for signs that an instance to which connections were lost has ended: its registration names a new start, or it has
-   * none and another server is registered at its address or nobody listens there. That the registration is gone says nothing by
+   * Looks for signs that an instance to which connections were lost has ended: another one is registered under its id, or none
+   * and another server is registered at its address or nobody listens there. That the registration is gone says nothing by
    * itself: entries lapse, and servers that are taken away go on for some time.
    */
   #examine(server: ServerInstance): void {
-    const born = this.sources.bornOf(server.id);
-    if (born === server.born) return;
-    if (born !== undefined) {
-      this.#confirm(server);
+    const registered = this.sources.instanceOf(server.id);
+    if (registered !== undefined) {
+      if (!isSameInstance(registered, server)) this.#confirm(server);
       return;
     }
-    const address = this.#addresses.get(server.id);
-    if (address === undefined || !this.#crashes.isRecent(server)) return;
-    if (this.sources.idAt(address) !== undefined) {
+    if (!this.#crashes.isRecent(server)) return;
+    if (this.sources.idAt(server.address) !== undefined) {
       this.#confirm(server);
       return;
     }
-    if (this.#examined.has(server.id)) return;
-    this.#examined.add(server.id);
-    void this.sources.isRefused(address).then((isRefused) => {
+    const key = instanceKey(server);
+    if (this.#examined.has(key)) return;
+    this.#examined.add(key);
+    void this.sources.isRefused(server.address).then((isRefused) => {
       if (isRefused && this.#crashes.isRecent(server)) this.#confirm(server);
     });
   }
 
   #confirm(server: ServerInstance): void {
     this.#crashes.confirm(server);
-    this.#addresses.delete(server.id);
     this.#hasNews = true;
   }
 
@@ -205,12 +194,10 @@
         this.onChange({ kind: 'blocked', part: timed[0], ends: undefined });
   }
 
-  /** Keeps the addresses of unconfirmed ends only. */
   #forgetExamined(): void {
-    if (this.#addresses.size === 0 && this.#examined.size === 0) return;
-    const open = new Set(this.#crashes.unconfirmed().map(({ id }) => id));
-    for (const id of this.#addresses.keys()) if (!open.has(id)) this.#addresses.delete(id);
-    for (const id of this.#examined) if (!open.has(id)) this.#examined.delete(id);
+    if (this.#examined.size === 0) return;
+    const open = new Set(this.#crashes.unconfirmed().map(instanceKey));
+    for (const key of this.#examined) if (!open.has(key)) this.#examined.delete(key);
   }
 
   #prove(parts: readonly string[], age?: Milliseconds): void {
--- a/packages/coordination/src/routing/poisonParts.test.ts
+++ b/packages/coordination/src/routing/poisonParts.test.ts
@@ -94,7 +94,7 @@
 
 test('a lost connection is no end until the server cannot be reached, or another router says so', () => {
   const reports = CrashReports.create(Clock.manual(1_000), 'r1');
-  const server = { id: 'a', born: 1 };
+  const server = { id: 'a', address: '10.0.0.1:80', born: 1 };
   reports.recordLoss(server, ['first', 'dead']);
   reports.recordLoss(server, ['first']);
   assert.deepEqual(reports.ends(), []);
@@ -110,7 +110,7 @@
 test('a server that responds after it lost connections has not ended', async () => {
   const clock = Clock.manual(1_000);
   const reports = CrashReports.create(clock, 'r1');
-  const server = { id: 'a', born: 1 };
+  const server = { id: 'a', address: '10.0.0.1:80', born: 1 };
   reports.recordLoss(server, ['first']);
   reports.recordAlive(server, 900);
   assert.equal(reports.unconfirmed().length, 1);
@@ -127,7 +127,7 @@
 test('a connection that was lost long before the end of its server does not count', async () => {
   const clock = Clock.manual(1_000);
   const reports = CrashReports.create(clock, 'r1');
-  const server = { id: 'a', born: 1 };
+  const server = { id: 'a', address: '10.0.0.1:80', born: 1 };
   reports.recordLoss(server, ['first']);
   await clock.advance(10_000);
   reports.receive({ reporter: 'r2', server, at: clock.now(), isConfirmed: true, parts: [] });
--- a/packages/coordination/src/routing/prefixCacheIndex.ts
+++ b/packages/coordination/src/routing/prefixCacheIndex.ts
@@ -3,12 +3,14 @@
 
 import { LRUCache } from 'lru-cache';
 import type { Prompt } from './model.js';
+import { InstanceMap, type ServerInstance } from './serverInstance.js';
 
 /** Fraction of a server's memory assumed to be its prefix cache; running requests use the rest. */
 const cacheFraction = 0.8;
 
 /** A prompt part in a server's prefix cache. */
 export interface CachedPart {
+  /** Id of the server. */
   readonly server: string;
   readonly part: string;
   readonly tokens: number;
@@ -16,7 +18,7 @@
 
 /** The probable contents of each server's prefix cache. */
 export class PrefixCacheIndex {
-  readonly #caches = new Map<string, LRUCache<string, number>>();
+  readonly #caches = InstanceMap.create<LRUCache<string, number>>();
   /** Keys of a prompt's parts, which are looked up for each server at each placement of the prompt. */
   readonly #keys = new WeakMap<Prompt, readonly string[]>();
 
@@ -29,7 +31,7 @@
   }
 
   /** Prompt tokens that the server has to prefill. */
-  uncachedTokens(server: string, prompt: Prompt): number {
+  uncachedTokens(server: ServerInstance, prompt: Prompt): number {
     const cache = this.#caches.get(server);
     if (cache === undefined) return prompt.promptTokens;
     let cachedTokens = 0;
@@ -44,10 +46,10 @@
   /**
    * Records that the server prefills the prompt. Returns the shared parts that it had not cached before.
    */
-  recordPrefill(server: string, memory: number, prompt: Prompt): readonly CachedPart[] {
+  recordPrefill(server: ServerInstance, memory: number, prompt: Prompt): readonly CachedPart[] {
     const cache = this.#caches.get(server);
     const parts = this.#keysOf(prompt).map((part, index) => ({
-      server,
+      server: server.id,
       part,
       tokens: prompt.parts[index]?.tokens ?? 0,
     }));
@@ -57,7 +59,7 @@
   }
 
   /** Records a cached part that another router or the server reports; `key` is as made by `partKey`. */
-  add(server: string, memory: number, key: string, tokens: number): void {
+  add(server: ServerInstance, memory: number, key: string, tokens: number): void {
     let cache = this.#caches.get(server);
     if (cache === undefined) {
       cache = new LRUCache({ maxSize: Math.max(1, Math.floor(memory * cacheFraction)) });
@@ -77,13 +79,14 @@
   /** All cached parts, by server and with the least recently used first. */
   all(): readonly CachedPart[] {
     const parts: CachedPart[] = [];
-    for (const [server, cache] of this.#caches)
-      for (const part of cache.rkeys()) parts.push({ server, part, tokens: cache.peek(part) ?? 0 });
+    for (const [{ id }, cache] of this.#caches.entries())
+      for (const part of cache.rkeys())
+        parts.push({ server: id, part, tokens: cache.peek(part) ?? 0 });
     return parts;
   }
 
   /** Clears the cache of a server that has restarted or is gone. */
-  forget(server: string): void {
+  forget(server: ServerInstance): void {
     this.#caches.delete(server);
   }
 }
--- a/packages/coordination/src/routing/reports.ts
+++ b/packages/coordination/src/routing/reports.ts
@@ -62,6 +62,24 @@
     }
   }
 
+  /** Drops what was reported of the server, since its id names another instance now. */
+  forget(server: string): void {
+    for (const [key, received] of this.#received) {
+      const { report } = received;
+      const { loads, waiting, least } = report;
+      this.#received.set(key, {
+        ...received,
+        report: {
+          ...report,
+          loads: without(loads, server),
+          waiting: without(waiting, server),
+          least: without(least, server),
+        },
+      });
+    }
+    this.#sum = undefined;
+  }
+
   /** Load that other routers have in flight at the server. */
   load(server: string): Load {
     return this.#sumOfAll().loads.get(server) ?? noLoad;
@@ -131,3 +149,10 @@
 function addLoads(sums: Map<string, Load>, loads: LoadMap): void {
   for (const [server, load] of loads) sums.set(server, sumLoads(sums.get(server) ?? noLoad, load));
 }
+
+function without<Value>(
+  values: ReadonlyMap<string, Value>,
+  excluded: string,
+): ReadonlyMap<string, Value> {
+  return new Map([...values].filter(([key]) => key !== excluded));
+}
--- a/packages/coordination/src/routing/serverHealth.ts
+++ b/packages/coordination/src/routing/serverHealth.ts
@@ -2,6 +2,7 @@
 // registrations may be wrong or late; responses are not.
 
 import type { Clock, Milliseconds } from '@catkinwheel/state';
+import { InstanceMap, type ServerInstance } from './serverInstance.js';
 
 /** Outcome of one attempt at a server. */
 export type ServerOutcome =
@@ -52,7 +53,7 @@
 
 /** Health of each server. */
 export class ServerHealth {
-  readonly #records = new Map<string, HealthRecord>();
+  readonly #records = InstanceMap.create<HealthRecord>();
 
   private constructor(private readonly clock: Clock) {}
 
@@ -61,7 +62,7 @@
   }
 
   /** Records an outcome. Returns the change of the server's health, if any. */
-  record(server: string, outcome: ServerOutcome): HealthChange | undefined {
+  record(server: ServerInstance, outcome: ServerOutcome): HealthChange | undefined {
     const before = this.#records.get(server) ?? initialRecord;
     const after = this.#after(before, outcome);
     this.#records.set(server, after);
@@ -88,26 +89,26 @@
         return { ...record, failedConnections, pausedUntil: now + pause };
       }
       case 'misdirected':
-        // Its registration is out of date; the next one has another id.
+        // Its registration is out of date; the next one names another instance.
         return { ...record, pausedUntil: now + maxPause };
     }
   }
 
   /** Whether the server may be sent requests now. */
-  isUsable(server: string): boolean {
+  isUsable(server: ServerInstance): boolean {
     return (this.#records.get(server) ?? initialRecord).pausedUntil <= this.clock.now();
   }
 
   /** Whether the last attempt to connect to the server failed. */
-  isUnreachable(server: string): boolean {
+  isUnreachable(server: ServerInstance): boolean {
     return (this.#records.get(server) ?? initialRecord).failedConnections > 0;
   }
 
-  failureRate(server: string): number {
+  failureRate(server: ServerInstance): number {
     return (this.#records.get(server) ?? initialRecord).failureRate;
   }
 
-  forget(server: string): void {
+  forget(server: ServerInstance): void {
     this.#records.delete(server);
   }
 }
--- a/packages/coordination/src/routing/serverTable.ts
+++ b/packages/coordination/src/routing/serverTable.ts
@@ -3,8 +3,14 @@
 // server is gone.
 
 import type { Clock, Milliseconds } from '@catkinwheel/state';
-import { Departures, type ServerInstance } from './departures.js';
+import { Departures } from './departures.js';
 import type { Server } from './model.js';
+import {
+  InstanceMap,
+  isOlderInstance,
+  isSameInstance,
+  type ServerInstance,
+} from './serverInstance.js';
 
 /**
  * Time for which a server is kept after its registration was found missing because the store was unreachable. Within
@@ -31,17 +37,12 @@
   readonly lapses: Milliseconds | undefined;
 }
 
-interface Removal {
-  readonly born: number | undefined;
-  readonly at: Milliseconds;
-}
-
-/** Servers by id. Changed only by `update`, `recordLeaving`, `markCold` and `expire`. */
+/** The present instance of each id. Changed only by `update`, `recordLeaving`, `markCold` and `expire`. */
 export class ServerTable {
   #servers: ReadonlyMap<string, KnownServer> = new Map();
   readonly #departures: Departures;
-  /** When the registrations of instances went, by id; only the last instance of an id counts. */
-  readonly #removals = new Map<string, Removal>();
+  /** When the registrations of instances went. */
+  readonly #removals = InstanceMap.create<Milliseconds>();
 
   private constructor(private readonly clock: Clock) {
     this.#departures = Departures.create(clock);
@@ -52,17 +53,21 @@
   }
 
   /**
-   * Replaces the set of registrations. `storeAway`: the store has recently been unreachable. Returns the ids
-   * of servers that are gone or have restarted; what was learned about these no longer holds.
+   * Replaces the set of registrations. `storeAway`: the store has recently been unreachable. Returns the instances
+   * that are gone or that another one has replaced; what was learned about these no longer holds.
    */
-  update(present: readonly Server[], storeAway: boolean): readonly string[] {
+  update(present: readonly Server[], storeAway: boolean): readonly ServerInstance[] {
     const now = this.clock.now();
     const next = new Map<string, KnownServer>();
-    const stale: string[] = [];
+    const stale: ServerInstance[] = [];
     for (const server of present) {
       const known = this.#servers.get(server.id);
-      const isRestarted = known !== undefined && known.born !== server.born;
-      if (isRestarted) stale.push(server.id);
+      if (this.#isOutdated(server, known)) {
+        if (known !== undefined) next.set(known.id, known);
+        continue;
+      }
+      const isRestarted = known !== undefined && !isSameInstance(known, server);
+      if (isRestarted) stale.push(known);
       const isChanged = known === undefined || isRestarted || known.coldLeft !== server.coldLeft;
       const coldUntil = isChanged ? now + server.coldLeft : known.coldUntil;
       if (server.isLeaving) this.#departures.record(server, 'registration');
@@ -74,8 +79,8 @@
       if (storeAway && !known.isLeaving) {
         next.set(known.id, { ...known, lapses: known.lapses ?? now + renewalTimeout });
       } else {
-        stale.push(known.id);
-        this.#removals.set(known.id, { born: known.born, at: now });
+        stale.push(known);
+        this.#removals.set(known, now);
       }
     }
     this.#servers = next;
@@ -84,34 +89,32 @@
 
   /** Records that the instance has said that it is leaving. Returns whether that is news. */
   recordLeaving(instance: ServerInstance): boolean {
-    if (!this.#departures.record(instance, 'response')) return false;
-    const known = this.#servers.get(instance.id);
-    if (known?.born === instance.born && known !== undefined)
+    if (this.isReplaced(instance) || !this.#departures.record(instance, 'response')) return false;
+    const known = this.#current(instance);
+    if (known !== undefined)
       this.#servers = new Map(this.#servers).set(known.id, { ...known, isLeaving: true });
     return true;
   }
 
   /** Registered instances that are known to leave from responses, the latest first. */
   announcedLeaving(): readonly ServerInstance[] {
-    return this.#departures
-      .announced()
-      .filter(({ id, born }) => this.#servers.has(id) && this.#servers.get(id)?.born === born);
+    return this.#departures.announced().filter((instance) => this.isRegistered(instance));
   }
 
-  /** Treats the server as cold for at least `duration`. */
-  markCold(id: string, duration: Milliseconds): void {
-    const known = this.#servers.get(id);
+  /** Treats the instance as cold for at least `duration`. */
+  markCold(instance: ServerInstance, duration: Milliseconds): void {
+    const known = this.#current(instance);
     if (known === undefined) return;
     const coldUntil = Math.max(known.coldUntil, this.clock.now() + duration);
-    this.#servers = new Map(this.#servers).set(id, { ...known, coldUntil });
+    this.#servers = new Map(this.#servers).set(known.id, { ...known, coldUntil });
   }
 
-  /** Drops servers whose registrations were not renewed in time; returns their ids. */
-  expire(): readonly string[] {
+  /** Drops servers whose registrations were not renewed in time; returns their instances. */
+  expire(): readonly ServerInstance[] {
     const now = this.clock.now();
     this.#departures.expire((id) => this.#servers.has(id));
-    for (const [id, { at }] of this.#removals)
-      if (at < now - removalMemory) this.#removals.delete(id);
+    for (const [instance, at] of this.#removals.entries())
+      if (at < now - removalMemory) this.#removals.delete(instance);
     const expired = [...this.#servers.values()].filter(
       ({ lapses }) => lapses !== undefined && lapses <= now,
     );
@@ -119,16 +122,30 @@
     const next = new Map(this.#servers);
     for (const { id } of expired) next.delete(id);
     this.#servers = next;
-    return expired.map(({ id }) => id);
+    return expired;
   }
 
   /** Whether the instance may end now as planned: it has said that it leaves, or has been off the list for long enough. */
   mayEnd(instance: ServerInstance): boolean {
     if (this.#departures.has(instance)) return true;
     if (this.#servers.has(instance.id)) return false;
-    const removal = this.#removals.get(instance.id);
-    if (removal === undefined || removal.born !== instance.born) return false;
-    return this.clock.now() - removal.at > minDrainTime;
+    const removedAt = this.#removals.get(instance);
+    return removedAt !== undefined && this.clock.now() - removedAt > minDrainTime;
+  }
+
+  isRegistered(instance: ServerInstance): boolean {
+    return this.#current(instance) !== undefined;
+  }
+
+  /** Whether another instance is registered under the id. */
+  isReplaced(instance: ServerInstance): boolean {
+    return this.#servers.has(instance.id) && !this.isRegistered(instance);
+  }
+
+  /** The registered instance with this id and start time, by which other routers name it; undefined if there is none. */
+  find(id: string, born: number | undefined): ServerInstance | undefined {
+    const known = this.#servers.get(id);
+    return known?.born === born ? known : undefined;
   }
 
   /** The id of the server that is registered at the address; undefined if there is none. */
@@ -147,4 +164,15 @@
   isCold(server: KnownServer): boolean {
     return server.coldUntil > this.clock.now();
   }
+
+  #current(instance: ServerInstance): KnownServer | undefined {
+    const known = this.#servers.get(instance.id);
+    return known !== undefined && isSameInstance(known, instance) ? known : undefined;
+  }
+
+  /** Whether a later instance is registered under the id or was lately: a write of the former one may come last. */
+  #isOutdated(server: Server, known: KnownServer | undefined): boolean {
+    const isOlder = known !== undefined && isOlderInstance(server, known);
+    return isOlder || this.#removals.hasLater(server);
+  }
 }
--- a/packages/gateway/src/cachedPartsReader.ts
+++ b/packages/gateway/src/cachedPartsReader.ts
@@ -1,7 +1,7 @@
 // Recovers the record of which server caches which prompt parts. After a restart of all routers no router has it any
 // more, so a router that cannot get it from another one reads it from the servers once.
 
-import type { Dispatcher, Members } from '@catkinwheel/coordination/routing';
+import type { Dispatcher, Members, ServerInstance } from '@catkinwheel/coordination/routing';
 import { decodeCachedParts, cachedPartsPath } from '@catkinwheel/platform';
 import type { Clock, Milliseconds } from '@catkinwheel/state';
 import { Agent } from 'undici';
@@ -48,11 +48,12 @@
     if (peer !== undefined) await peerState.fetch(peerAddress(peer.ip));
     // Parts known from this router's own requests do not count: servers cache earlier parts as well.
     if (peerState.hasCachedParts) return;
-    await Promise.all(dispatcher.engineServers().map(({ id, address }) => this.#read(id, address)));
+    await Promise.all(dispatcher.engineServers().map((server) => this.#read(server)));
   }
 
-  async #read(server: string, address: string): Promise<void> {
+  async #read(instance: ServerInstance): Promise<void> {
     const { dispatcher, log } = this.options;
+    const { id: server, address } = instance;
     const agent = new Agent({
       connect: { timeout: responseTimeout },
       maxResponseSize: maxListBytes,
@@ -68,7 +69,7 @@
       const json = await body.json();
       decodeCachedParts(server, json).match(
         (parts) => {
-          dispatcher.addCachedParts(parts);
+          if (dispatcher.servers.isRegistered(instance)) dispatcher.addCachedParts(parts);
           log.write('kept parts read', { server, parts: parts.length });
         },
         (detail) => {
--- a/packages/gateway/src/crashEvidence.ts
+++ b/packages/gateway/src/crashEvidence.ts
@@ -3,7 +3,17 @@
 
 import type { CrashEvidence } from '@catkinwheel/coordination/routing';
 import type { Milliseconds } from '@catkinwheel/state';
-import { Codec, array, boolean, nullable, number, string, tuple, type GetType } from 'purify-ts';
+import {
+  Codec,
+  array,
+  boolean,
+  nullable,
+  number,
+  optional,
+  string,
+  tuple,
+  type GetType,
+} from 'purify-ts';
 
 /** Part, its position in the prompt, and requests with it. */
 const partCodec = tuple([string, number, number]);
@@ -12,6 +22,8 @@
 
 export const evidenceCodec = Codec.interface({
   crashes: array(crashCodec),
+  /** Addresses of the servers of `crashes`, in the same order; routers of earlier versions send none. */
+  addresses: optional(array(string)),
   /** Parts that are sound, with the ages of the proofs. */
   sound: array(tuple([string, number])),
   /** Blocked parts, with the remaining times. */
@@ -33,6 +45,7 @@
       isConfirmed,
       parts.map(({ id, depth, requests }) => [id, depth, requests]),
     ]),
+    addresses: crashes.map(({ server }) => server.address),
     sound: sound.map(([part, age]) => [part, Math.round(age)]),
     blocked: blocked.map(([part, remaining]) => [part, Math.round(remaining)]),
   };
@@ -40,9 +53,9 @@
 
 export function decodeEvidence(message: Message, now: Milliseconds): CrashEvidence {
   return {
-    crashes: message.crashes.map(([reporter, id, born, age, isConfirmed, parts]) => ({
+    crashes: message.crashes.map(([reporter, id, born, age, isConfirmed, parts], index) => ({
       reporter,
-      server: { id, born: born ?? undefined },
+      server: { id, address: message.addresses?.[index] ?? '', born: born ?? undefined },
       at: now - age,
       isConfirmed,
       parts: parts.map(([part, depth, requests]) => ({ id: part, depth, requests })),
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -216,7 +216,7 @@
     await Promise.race([removed, clock.sleep(finalWait)]);
     this.#stopped.abort();
     for (const server of this.#httpServers) server.close();
-    this.#connections.retireExcept(new Set());
+    this.#connections.retireExcept([]);
     this.#log.write('stopped', { cut });
   }
 
@@ -396,7 +396,7 @@
   #onTableChange(): void {
     const limits = this.#dispatcher.table?.state.limits;
     if (limits !== undefined) this.#frontend.limit(limits);
-    this.#connections.retireExcept(new Set(this.#dispatcher.servers.all().map(({ id }) => id)));
+    this.#connections.retireExcept(this.#dispatcher.servers.all());
     this.#gossip.send(true);
   }
 
--- a/packages/gateway/src/gossip.ts
+++ b/packages/gateway/src/gossip.ts
@@ -297,7 +297,9 @@
       this.#recordHeartbeat({ ...member, ...state }, age);
     }
     for (const [server, born] of message.leaving ?? []) {
-      if (dispatcher.recordLeaving({ id: server, born: born ?? undefined }))
+      // One that is not registered here yet is named again in the next message.
+      const instance = dispatcher.servers.find(server, born ?? undefined);
+      if (instance !== undefined && dispatcher.recordLeaving(instance))
         log.write('server leaving', { server, source: 'peer', peer: name });
     }
     if (message.evidence !== undefined)
--- a/packages/gateway/src/requestHandler.ts
+++ b/packages/gateway/src/requestHandler.ts
@@ -444,7 +444,7 @@
     const attempt = await this.#forwardResponse(options, outgoing, signal, callbacks);
     watch.clear();
     clearTimeout(discardTimer);
-    if (attempt.kind === 'replaced') connections.retire(server.id);
+    if (attempt.kind === 'replaced') connections.retire(server);
     else watch.replacement?.finish();
     grant.finish(serverOutcomeOf(attempt));
     this.#attemptLog.push({
@@ -480,7 +480,6 @@
     },
   ): Promise<AttemptOutcome> {
     const { connections } = this.dependencies;
-    const { id, address } = grant.server;
     let run: RunResponse | undefined;
     let status = 0;
     let discard: AttemptOutcome | undefined;
@@ -497,7 +496,7 @@
       if (notice !== undefined) callbacks.notice(notice);
       return !belongsToOtherRequest(factsOf(code, headers));
     };
-    for await (const part of connections.send(id, address, outgoing, signal, isOwnResponse)) {
+    for await (const part of connections.send(grant.server, outgoing, signal, isOwnResponse)) {
       switch (part.kind) {
         case 'head': {
           ({ status } = part);
--- a/packages/gateway/src/serverConnections.ts
+++ b/packages/gateway/src/serverConnections.ts
@@ -1,5 +1,7 @@
-// Connection pools to servers: one pool for each server id, which changes with each start of a server, and no pipelining.
+// Connection pools to servers: one pool for each instance, since the next one with its id may be at another address, and no
+// pipelining.
 
+import { instanceKey, type ServerInstance } from '@catkinwheel/coordination/routing';
 import type { ResponsePart } from '@catkinwheel/protocol';
 import type { Milliseconds } from '@catkinwheel/state';
 import { Exchange, type ResponseMatcher } from '@catkinwheel/transport/exchange';
@@ -22,7 +24,7 @@
   readonly body: Buffer | null;
 }
 
-/** Pools by server id. */
+/** Pools by the key of their instances. */
 export class ServerConnections {
   readonly #pools = new Map<string, Pool>();
 
@@ -39,34 +41,39 @@
    * `signal` closes the connection, on which most servers stop; so does a response for which `isOwnResponse` is false.
    */
   send(
-    id: string,
-    address: string,
+    server: ServerInstance,
     request: Outgoing,
     signal: AbortSignal,
     isOwnResponse: ResponseMatcher,
   ): AsyncGenerator<ResponsePart, void, void> {
     const exchange = Exchange.create(request.method, false, signal, () => undefined, isOwnResponse);
-    this.#pool(id, address).dispatch({ ...request }, exchange);
+    this.#pool(server).dispatch({ ...request }, exchange);
     return exchange.parts();
   }
 
   /** Makes later requests to the server use new connections; requests in flight keep theirs. */
-  retire(id: string): void {
-    const pool = this.#pools.get(id);
-    this.#pools.delete(id);
-    // Closing waits for the requests in flight, which end by their own deadlines.
-    pool?.close().catch(() => undefined);
+  retire(server: ServerInstance): void {
+    this.#retire(instanceKey(server));
+  }
+
+  /** Retires the pools of all other instances. */
+  retireExcept(servers: readonly ServerInstance[]): void {
+    const kept = new Set(servers.map(instanceKey));
+    for (const key of this.#pools.keys()) if (!kept.has(key)) this.#retire(key);
   }
 
-  /** Retires the pools of all other servers. */
-  retireExcept(ids: ReadonlySet<string>): void {
-    for (const id of this.#pools.keys()) if (!ids.has(id)) this.retire(id);
+  #retire(key: string): void {
+    const pool = this.#pools.get(key);
+    this.#pools.delete(key);
+    // Closing waits for the requests in flight, which end by their own deadlines.
+    pool?.close().catch(() => undefined);
   }
 
-  #pool(id: string, address: string): Pool {
-    const known = this.#pools.get(id);
+  #pool(server: ServerInstance): Pool {
+    const key = instanceKey(server);
+    const known = this.#pools.get(key);
     if (known !== undefined) return known;
-    const pool = new Pool(`http://${address}`, {
+    const pool = new Pool(`http://${server.address}`, {
       pipelining: 1,
       connect: { timeout: connectTimeout },
       keepAliveTimeout: defaultKeepAlive,
@@ -76,7 +83,7 @@
       bodyTimeout: 0,
       maxHeaderSize: maxHeaderBytes,
     });
-    this.#pools.set(id, pool);
+    this.#pools.set(key, pool);
     return pool;
   }
 }
--- a/packages/standins/src/experiment/policy.ts
+++ b/packages/standins/src/experiment/policy.ts
@@ -77,7 +77,7 @@
       .filter(({ id, service, isLeaving }) => {
         return service === request.service && !isLeaving && !request.avoid.has(id);
       })
-      .filter(({ id }) => this.#dispatcher.serverHealth.isUsable(id));
+      .filter((server) => this.#dispatcher.serverHealth.isUsable(server));
     const [server] = usable.sort((a, b) => this.#requests(a.id) - this.#requests(b.id));
     if (server === undefined)
       return Promise.resolve({ kind: 'refused', reason: 'noServer', retryAfter: 1_000 });
@@ -94,7 +94,7 @@
         if (isFinished) return;
         isFinished = true;
         this.#ownRequests.set(server.id, (this.#ownRequests.get(server.id) ?? 1) - 1);
-        if (result !== undefined) this.#dispatcher.serverHealth.record(server.id, result);
+        if (result !== undefined) this.#dispatcher.serverHealth.record(server, result);
       },
     });
   }
--- a/packages/standins/src/stack/server.ts
+++ b/packages/standins/src/stack/server.ts
@@ -85,7 +85,7 @@
     /** May be changed while the server does not run. */
     public id: string,
     private readonly server: Server,
-    private readonly port: number,
+    private port: number,
   ) {}
 
   static async start(id: string): Promise<StackServer> {
@@ -135,6 +135,15 @@
     await new Promise<void>((resolve) => this.server.listen(port, '127.0.0.1', resolve));
   }
 
+  /** Ends as a process that crashes does, and starts again at another address. */
+  async startElsewhere(): Promise<void> {
+    const { port } = this;
+    await this.close();
+    await new Promise<void>((resolve) => this.server.listen(0, '127.0.0.1', resolve));
+    this.port = (this.server.address() as AddressInfo).port;
+    if (this.port === port) throw new Error('the server got the address that it had');
+  }
+
   async close(): Promise<void> {
     this.dropConnections();
     await new Promise((resolve) => this.server.close(resolve));
