--- a/packages/catkinwheel/src/daySummary.ts
+++ b/packages/catkinwheel/src/daySummary.ts
@@ -159,6 +159,7 @@
     case 'desired state refused':
     case 'server entry refused':
     case 'request failed inside the router':
+    case 'exception inside the router':
       return notice(`${event}: ${String(fields.detail)}`);
     case 'server lost':
     case 'server back':
--- a/packages/catkinwheel/src/requestExplanation.ts
+++ b/packages/catkinwheel/src/requestExplanation.ts
@@ -25,6 +25,7 @@
   'desired state refused',
   'lines dropped',
   'request failed inside the router',
+  'exception inside the router',
 ]);
 
 /** An event around the time of the request; `at` on the common timeline. */
--- a/packages/coordination/src/routing/admission.ts
+++ b/packages/coordination/src/routing/admission.ts
@@ -46,6 +46,8 @@
       readonly retryAfter: Milliseconds;
       /** The figures behind the refusal, if the request would have had to wait for a server for too long. */
       readonly basis?: OverloadBasis;
+      /** What was thrown while the request was placed, if its reason is `internal`. */
+      readonly error?: unknown;
     };
 
 /** The figures on which a refusal for overload is based. */
@@ -63,7 +65,14 @@
 }
 
 /** Why a job is refused. */
-export type RefusalReason = 'noServer' | 'overload' | 'deadline' | 'blockedPart' | 'stopping';
+export type RefusalReason =
+  | 'noServer'
+  | 'overload'
+  | 'deadline'
+  | 'blockedPart'
+  | 'stopping'
+  /** Placing the request failed inside the router. */
+  | 'internal';
 
 /** A snapshot of the servers. It reflects the jobs that are placed through it. */
 export interface ServerSnapshot {
@@ -152,11 +161,20 @@
     private readonly clock: Clock,
     private readonly work: WorkTimer,
     private readonly snapshots: SnapshotSource,
+    private readonly onError: (error: unknown) => void,
   ) {}
 
-  /** `work` measures the time of choosing servers. */
-  static create(clock: Clock, work: WorkTimer, snapshots: SnapshotSource): Admission {
-    return new Admission(clock, work, snapshots);
+  /**
+   * `work` measures the time of choosing servers. `onError` gets what is thrown in a pass over the queue outside the placement
+   * of a single request; the requests stay queued for the next pass.
+   */
+  static create(
+    clock: Clock,
+    work: WorkTimer,
+    snapshots: SnapshotSource,
+    onError: (error: unknown) => void = () => undefined,
+  ): Admission {
+    return new Admission(clock, work, snapshots, onError);
   }
 
   /** Load of queued requests, by the server that they wait for. */
@@ -175,7 +193,10 @@
     return this.#queue.length;
   }
 
-  /** Finds a server for the job, at once or when one has room. Refuses the job if `signal` aborts. */
+  /**
+   * Finds a server for the job, at once or when one has room. Refuses the job if `signal` aborts, or with the reason `internal`
+   * if placing it throws. Never rejects.
+   */
   admit(job: Job, signal: AbortSignal): Promise<AdmissionResult> {
     // A signal that is already aborted calls no listener.
     if (signal.aborted) return Promise.resolve(refusal('deadline', 0));
@@ -190,8 +211,10 @@
       };
       signal.addEventListener('abort', onAbort);
       this.#queue = [...this.#queue, queued];
-      this.work.run('arrivals', () => {
-        this.#placeArrival(queued);
+      this.#contain(() => {
+        this.work.run('arrivals', () => {
+          this.#placeArrival(queued);
+        });
       });
     });
   }
@@ -199,18 +222,32 @@
   /**
    * Passes over the queue in order: assigns servers that have room, and refuses jobs that cannot be served in
    * time. Skipped if the last pass was less than `minPassInterval` ago; the router's periodic work calls it
-   * again.
+   * again. Never throws: it runs in the course of requests, datagrams and table updates that it does not concern.
    */
   placeQueued(): void {
     const now = this.clock.now();
     if (now - this.#lastPass < minPassInterval) return;
     this.#lastPass = now;
+    this.#contain(() => {
+      this.#passOverQueue();
+    });
+  }
+
+  #contain(work: () => void): void {
+    try {
+      work();
+    } catch (error) {
+      this.onError(error);
+    }
+  }
+
+  #passOverQueue(): void {
     this.#noteStandingQueues();
     const ahead = new Map<string, Load>();
     if (this.#queue.length > 0) {
       this.work.run('queue', () => {
         const snapshot = this.snapshots.snapshot();
-        for (const queued of this.#inOrder(snapshot)) this.#placeJob(queued, snapshot, ahead);
+        for (const queued of this.#inOrder(snapshot)) this.#placeOrRefuse(queued, snapshot, ahead);
       });
     }
     this.#queuedLoads = ahead;
@@ -229,7 +266,7 @@
       const { id, addedLoad } = other.lastPlacement;
       before.set(id, sumLoads(before.get(id) ?? noLoad, addedLoad));
     }
-    this.#placeJob(queued, snapshot, before, true);
+    this.#placeOrRefuse(queued, snapshot, before, true);
     if (queued.lastPlacement?.kind !== 'wait') return;
     const { id, addedLoad } = queued.lastPlacement;
     this.#queuedLoads = new Map(this.#queuedLoads).set(
@@ -238,12 +275,27 @@
     );
   }
 
+  /** Tries to place one queued job; refuses that job alone if this throws. */
+  #placeOrRefuse(
+    queued: QueuedJob,
+    snapshot: ServerSnapshot,
+    ahead: Map<string, Load>,
+    isArrival = false,
+  ): void {
+    try {
+      this.#placeJob(queued, snapshot, ahead, isArrival);
+    } catch (error) {
+      queued.lastPlacement = undefined;
+      this.#settle(queued, { ...refusal('internal', defaultRetryDelay), error });
+    }
+  }
+
   /** Tries to place one queued job; adds its load to `ahead` if it remains in the queue. */
   #placeJob(
     queued: QueuedJob,
     snapshot: ServerSnapshot,
     ahead: Map<string, Load>,
-    isArrival = false,
+    isArrival: boolean,
   ): void {
     const { job } = queued;
     const now = this.clock.now();
--- a/packages/coordination/src/routing/dispatcher.ts
+++ b/packages/coordination/src/routing/dispatcher.ts
@@ -33,7 +33,7 @@
 import { ServerTable, type KnownServer } from './serverTable.js';
 import { ServerHealth, type HealthChange, type ServerOutcome } from './serverHealth.js';
 import type { ServerInstance } from './serverInstance.js';
-import { TeamUsage } from './teamUsage.js';
+import { TeamUsage, type Charge } from './teamUsage.js';
 import { TimeBudgets } from './timeBudgets.js';
 import type { WorkTimer } from './workTimer.js';
 
@@ -124,6 +124,8 @@
   readonly onServer?: (server: string, change: HealthChange, failureRate: number) => void;
   /** Called when a prompt part is blocked, since servers end under it, or released. */
   readonly onPart?: (change: PartChange) => void;
+  /** Called with what is thrown in a pass over the queue outside the placement of a single request. */
+  readonly onError?: (error: unknown) => void;
   /** Whether connections to the address are refused; asked of a server that may have ended. */
   readonly isRefused?: (address: string) => Promise<boolean>;
 }
@@ -182,7 +184,12 @@
     );
     this.#teamUsage = TeamUsage.create(clock);
     this.#timeBudgets = TimeBudgets.create(clock);
-    this.#admission = Admission.create(clock, options.work, { snapshot: () => this.#snapshot() });
+    this.#admission = Admission.create(
+      clock,
+      options.work,
+      { snapshot: () => this.#snapshot() },
+      options.onError,
+    );
   }
 
   static create(options: DispatcherOptions): Dispatcher {
@@ -409,7 +416,20 @@
     // A response that cannot be complete by its deadline gets no server, whether or not one has room.
     if (this.options.clock.now() + placement.predicted > latestFirstEvent(job))
       return { ...placement, kind: 'wait' };
-    this.#grant(job, request, service, placement, placement.addedLoad.unread, memory);
+    const server = this.servers.get(placement.id);
+    if (server === undefined) throw new Error(`the chosen server ${placement.id} is unknown`);
+    const missing = placement.addedLoad.unread;
+    const unreadBefore = this.#fleetLoad(server).unread;
+    const inFlight = this.#loads.begin(server, missing, memory);
+    const charge = this.#teamUsage.charge(job.team, job.cost);
+    try {
+      const counted = { unreadBefore, missing, inFlight, charge };
+      this.#grant(job, request, service, { server, predicted: placement.predicted }, counted);
+    } catch (error) {
+      inFlight.finish();
+      charge.refund();
+      throw error;
+    }
     return placement;
   }
 
@@ -417,17 +437,11 @@
     job: Job,
     request: Request,
     service: Service,
-    placement: { readonly id: string; readonly predicted: Milliseconds },
-    missing: number,
-    memory: number,
+    { server, predicted }: { readonly server: KnownServer; readonly predicted: Milliseconds },
+    { unreadBefore, missing, inFlight, charge }: Reservation,
   ): void {
-    const server = this.servers.get(placement.id);
-    if (server === undefined) return;
     const { clock } = this.options;
     if (this.#hasColdRate(server)) this.#coldStart.recordSent(server);
-    const unreadBefore = this.#fleetLoad(server).unread;
-    const inFlight: InFlightRequest = this.#loads.begin(server, missing, memory);
-    const charge = this.#teamUsage.charge(job.team, job.cost);
     if (request.prompt !== undefined && service.engine !== undefined)
       this.#unreportedParts = [
         ...this.#unreportedParts,
@@ -440,7 +454,7 @@
     this.#grants.set(job, {
       kind: 'server',
       server,
-      predicted: placement.predicted,
+      predicted,
       missing,
       started: () => {
         if (startedAt !== undefined) return;
@@ -457,11 +471,11 @@
         run.progressed();
       },
       finish: (result) => {
-        run.finished(result);
         inFlight.finish();
+        run.finished(result);
         if (!isFinished && startedAt === undefined) charge.refund();
         if (!isFinished && result === 'answered')
-          this.#learnDuration(request, placement.predicted, sent, startedAt ?? clock.now());
+          this.#learnDuration(request, predicted, sent, startedAt ?? clock.now());
         isFinished = true;
         if (result !== undefined) this.#recordOutcome(server, service, result);
         this.#admission.placeQueued();
@@ -652,6 +666,16 @@
   }
 }
 
+/** What is counted for a request from its placement on. */
+interface Reservation {
+  /** Prompt tokens that the server had yet to prefill before this request. */
+  readonly unreadBefore: number;
+  /** Prompt tokens of the request that are not in the server's prefix cache. */
+  readonly missing: number;
+  readonly inFlight: InFlightRequest;
+  readonly charge: Charge;
+}
+
 function memoized<Value>(lookup: (key: string) => Value): (key: string) => Value {
   const known = new Map<string, Value>();
   return (key) => {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -25,6 +25,7 @@
 import { Hono } from 'hono';
 import { isRefused } from './addressProbe.js';
 import { Gossip } from './gossip.js';
+import { Faults } from './faults.js';
 import { Frontend } from './frontend.js';
 import { StoreReplica } from './storeReplica.js';
 import { CachedPartsReader } from './cachedPartsReader.js';
@@ -69,6 +70,7 @@
   readonly #stopped = new AbortController();
   readonly #log: Log;
   readonly #metrics = Metrics.create();
+  readonly #faults: Faults;
   readonly #members: Members;
   readonly #dispatcher: Dispatcher;
   readonly #storeReplica: StoreReplica;
@@ -94,6 +96,7 @@
     const { router, ip, dataCentre, capacity } = settings;
     const log = Log.create(clock, router, this.#boot);
     const metrics = this.#metrics;
+    const faults = Faults.create(log, metrics);
     const members = Members.create(clock, router, capacity);
     const work = WorkTimer.create(clock);
     this.#loggedTimes = { at: clock.now(), times: work.times() };
@@ -105,11 +108,19 @@
       onPart: ({ kind, ...fields }) => {
         log.write(`prompt part ${kind}`, fields);
       },
-      isRefused,
+      onError: (error) => {
+        faults.record('queue', error);
+      },
+      isRefused: (address) =>
+        isRefused(address).catch((error: unknown) => {
+          faults.record('probe', error);
+          return false;
+        }),
     });
-    const storeReplica = StoreReplica.create(clock, dispatcher, log);
+    const storeReplica = StoreReplica.create(clock, dispatcher, log, faults);
     const store = StoreClient.create(settings.store);
     this.#log = log;
+    this.#faults = faults;
     const stops = PlannedStops.create(clock, settings.bounds.grace);
     this.#stops = stops;
     this.#cpuUsage = CpuUsage.create(clock, capacity);
@@ -120,7 +131,15 @@
     this.#members = members;
     this.#dispatcher = dispatcher;
     this.#storeReplica = storeReplica;
-    this.#storeReader = StoreReader.create({ clock, store, storeReplica, members, log, metrics });
+    this.#storeReader = StoreReader.create({
+      clock,
+      store,
+      storeReplica,
+      members,
+      log,
+      metrics,
+      faults,
+    });
     this.#registration = Registration.create({
       clock,
       store,
@@ -152,11 +171,12 @@
       dispatcher,
       storeReplica,
       log,
+      faults,
       stops,
       storeAge: () => this.#storeReader.age(),
       used: () => this.#cpuUsage.usedCores(),
       onNewerVersions: (peer) => {
-        void this.#peerState.fetch(this.#peerAddress(peer));
+        faults.watch('peerState', this.#peerState.fetch(this.#peerAddress(peer)));
       },
     });
     this.#tunnels = Tunnels.create(clock, log);
@@ -167,6 +187,7 @@
         connections: this.#connections,
         log,
         metrics,
+        faults,
         stops,
         isBehind: () => this.#eventLoopLag.isBehind,
         late: () => this.#eventLoopLag.late,
@@ -244,17 +265,19 @@
       this.#frontend.listen(endpointOf(settings.listen.callers), this.#tunnelEndpoint(settings.ip)),
     ]);
     this.#log.write('listening', { callers: settings.listen.callers });
-    void this.#storeReader.run(signal);
+    const faults = this.#faults;
+    faults.watch('store', this.#storeReader.run(signal));
     // Until routers receive heartbeats from one another, each of them reads the store itself.
-    void this.#registration.run(signal).then(() => {
+    const registered = this.#registration.run(signal).then(() => {
       this.#gossip.announce();
     });
-    void this.#gossip.run(signal);
-    void this.#fetchFromSeeds();
+    faults.watch('registration', registered);
+    faults.watch('datagram', this.#gossip.run(signal));
+    faults.watch('peerState', this.#fetchFromSeeds());
     // At the first start of a fleet the prefix caches of its servers are empty.
-    if (!settings.isFirstStart) void this.#readCachedParts();
-    void this.#tick(signal);
-    void this.#logLoadPeriodically(signal);
+    if (!settings.isFirstStart) faults.watch('cachedParts', this.#readCachedParts());
+    faults.watch('tick', this.#tick(signal));
+    faults.watch('load', this.#logLoadPeriodically(signal));
   }
 
   /** Logs the load periodically; `#eventLoopLag` also has it logged when the router falls behind or catches up. */
@@ -413,9 +436,15 @@
 
   async #tick(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      this.#dispatcher.tick();
-      this.#updateHandover();
-      this.#resetLostTunnels();
+      this.#faults.contain('tick', () => {
+        this.#dispatcher.tick();
+      });
+      this.#faults.contain('tick', () => {
+        this.#updateHandover();
+      });
+      this.#faults.contain('tick', () => {
+        this.#resetLostTunnels();
+      });
       const hasQueue = this.#dispatcher.waiting > 0;
       await this.#eventLoopLag.sleep(hasQueue ? queueTickInterval : tickInterval, signal);
     }
--- a/packages/gateway/src/gossip.ts
+++ b/packages/gateway/src/gossip.ts
@@ -33,6 +33,7 @@
 } from 'purify-ts';
 import { decodeEvidence, encodeEvidence, evidenceCodec } from './crashEvidence.js';
 import { tableNames, type StoreReplica } from './storeReplica.js';
+import type { Faults } from './faults.js';
 import type { Log } from './log.js';
 
 /** Server, prompt tokens still to prefill, requests, KV cache tokens. */
@@ -110,6 +111,7 @@
       readonly dispatcher: Dispatcher;
       readonly storeReplica: StoreReplica;
       readonly log: Log;
+      readonly faults: Faults;
       readonly stops: PlannedStops;
       readonly storeAge: () => Milliseconds;
       /** Cores in use. */
@@ -140,8 +142,10 @@
       log.write('datagram failed', { detail: error.message });
     });
     this.#socket.on('message', (bytes, from) => {
-      this.options.work.run('datagrams', () => {
-        this.#receive(bytes, from.address);
+      this.options.faults.contain('datagram', () => {
+        this.options.work.run('datagrams', () => {
+          this.#receive(bytes, from.address);
+        });
       });
     });
   }
@@ -166,11 +170,13 @@
 
   /**
    * Sends the state of this router to its direct peers, and the sum of its data centre if it is the representative. Unless
-   * `isUrgent`, idle routers of a large fleet are sent to at a lower rate.
+   * `isUrgent`, idle routers of a large fleet are sent to at a lower rate. Never throws.
    */
   send(isUrgent: boolean): void {
-    this.options.work.run('datagrams', () => {
-      this.#send(isUrgent);
+    this.options.faults.contain('datagram', () => {
+      this.options.work.run('datagrams', () => {
+        this.#send(isUrgent);
+      });
     });
   }
 
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -29,6 +29,12 @@
     labelNames: ['reason'],
     registers: [this.registry],
   });
+  readonly faults = new Counter({
+    name: 'catkinwheel_faults_total',
+    help: 'Exceptions inside the router, by what it was doing.',
+    labelNames: ['activity'],
+    registers: [this.registry],
+  });
   readonly storeCalls = new Counter({
     name: 'catkinwheel_store_calls_total',
     help: 'Calls of the store, by table and result.',
--- a/packages/gateway/src/requestHandler.ts
+++ b/packages/gateway/src/requestHandler.ts
@@ -37,6 +37,7 @@
 } from './attempt.js';
 import { ResponseAssembler, type RunResponse } from './responseAssembler.js';
 import { CallerResponse } from './callerResponse.js';
+import type { Faults } from './faults.js';
 import type { Log } from './log.js';
 import type { Metrics } from './metrics.js';
 import { readBody } from './requestBody.js';
@@ -79,6 +80,7 @@
   readonly connections: ServerConnections;
   readonly log: Log;
   readonly metrics: Metrics;
+  readonly faults: Faults;
   readonly stops: PlannedStops;
   /** Whether new requests are refused because the event loop has not caught up with earlier ones. */
   readonly isBehind: () => boolean;
@@ -184,8 +186,13 @@
     try {
       await this.#serve();
     } catch (error) {
-      this.#logFault(error);
-      this.#fail('internal', 'mayHaveRun');
+      this.#recordFault(error);
+      try {
+        this.#fail('internal', 'mayHaveRun');
+      } catch (failError) {
+        this.#recordFault(failError);
+        response.destroy();
+      }
     } finally {
       socket.off('close', onClose);
       unsubscribe();
@@ -194,12 +201,9 @@
     }
   }
 
-  #logFault(error: unknown): void {
-    this.dependencies.log.write('request failed inside the router', {
-      id: this.#head.id,
-      path: this.request.url,
-      detail: error instanceof Error ? (error.stack ?? error.message) : String(error),
-    });
+  #recordFault(error: unknown): void {
+    const { faults } = this.dependencies;
+    faults.record('request', error, { id: this.#head.id, path: this.request.url });
   }
 
   async #serve(): Promise<void> {
@@ -305,6 +309,7 @@
       replacement = undefined;
       if (grant.kind === 'refused') {
         this.#basis = grant.basis;
+        if (grant.reason === 'internal') this.#recordFault(grant.error);
         this.#endWithoutResponse(grant.reason, verdict, grant.retryAfter);
         return;
       }
@@ -315,7 +320,10 @@
       const findReplacement: ServerSearch = (signal) =>
         this.#findReplacement(requestWithout(avoid), signal);
       const options = { route, grant, body, deadline, mayRetry, answer, findReplacement };
-      const attempt = await this.#runAttempt(options);
+      const attempt = await this.#runAttempt(options).catch((error: unknown) => {
+        grant.finish();
+        throw error;
+      });
       switch (attempt.kind) {
         case 'delivered':
           this.#finish('delivered');
@@ -364,11 +372,14 @@
     if (this.#lacksBudget) return undefined;
     try {
       const grant = await this.#acquire(request, signal);
-      if (grant.kind === 'refused') return undefined;
+      if (grant.kind === 'refused') {
+        if (grant.reason === 'internal') this.#recordFault(grant.error);
+        return undefined;
+      }
       if (!signal.aborted && retryBudget.withdraw(request.service)) return grant;
       grant.finish();
     } catch (error) {
-      this.#logFault(error);
+      this.#recordFault(error);
     }
     return undefined;
   }
--- a/packages/gateway/src/storeReader.ts
+++ b/packages/gateway/src/storeReader.ts
@@ -5,6 +5,7 @@
 import { storeTables, type StoreClient, type StoreFailure } from '@catkinwheel/platform';
 import type { Clock, Milliseconds } from '@catkinwheel/state';
 import { tableNames, type StoreReplica, type TableName } from './storeReplica.js';
+import type { Faults } from './faults.js';
 import type { Log } from './log.js';
 import type { Metrics } from './metrics.js';
 
@@ -41,6 +42,7 @@
       readonly members: Members;
       readonly log: Log;
       readonly metrics: Metrics;
+      readonly faults: Faults;
     },
   ) {}
 
@@ -70,9 +72,10 @@
       }
       // A copy from another router serves as well as one that this router read from the store.
       isComplete ||= storeReplica.version(table) > 0;
-      const failure: StoreFailure | undefined = isComplete
-        ? await this.#poll(table)
-        : await this.#readAll(table);
+      const failure = await this.#contained(
+        table,
+        isComplete ? this.#poll(table) : this.#readAll(table),
+      );
       if (failure === undefined) {
         retryPause = firstPause;
         isComplete = true;
@@ -82,7 +85,7 @@
       isComplete = failure.kind === 'historyLost' ? false : isComplete;
       if (failure.kind === 'historyLost') {
         log.write('store lost its history', { table, version: storeReplica.version(table) });
-        const rereadFailure = await this.#readAll(table);
+        const rereadFailure = await this.#contained(table, this.#readAll(table));
         if (rereadFailure === undefined) {
           isComplete = true;
           continue;
@@ -95,6 +98,19 @@
     }
   }
 
+  /** The outcome of a call; one that throws counts as failed, so that the table is followed further. */
+  async #contained(
+    table: TableName,
+    reading: Promise<StoreFailure | undefined>,
+  ): Promise<StoreFailure | undefined> {
+    try {
+      return await reading;
+    } catch (error) {
+      this.options.faults.record('store', error, { table });
+      return { kind: 'failed', detail: String(error) };
+    }
+  }
+
   #isReader(): boolean {
     const { storeReplica, members } = this.options;
     if (tableNames.some((table) => storeReplica.version(table) === 0)) return true;
--- a/packages/gateway/src/storeReplica.ts
+++ b/packages/gateway/src/storeReplica.ts
@@ -17,6 +17,7 @@
 } from '@catkinwheel/platform';
 import type { Clock, Milliseconds } from '@catkinwheel/state';
 import { Result } from 'neverthrow';
+import type { Faults } from './faults.js';
 import type { Log } from './log.js';
 
 /**
@@ -60,12 +61,13 @@
     private readonly clock: Clock,
     private readonly dispatcher: Dispatcher,
     private readonly log: Log,
+    private readonly faults: Faults,
   ) {
     this.#lastContact = clock.now();
   }
 
-  static create(clock: Clock, dispatcher: Dispatcher, log: Log): StoreReplica {
-    return new StoreReplica(clock, dispatcher, log);
+  static create(clock: Clock, dispatcher: Dispatcher, log: Log, faults: Faults): StoreReplica {
+    return new StoreReplica(clock, dispatcher, log, faults);
   }
 
   /** Sets the listener to call after each change of a table; it replaces the one set before. */
@@ -108,17 +110,23 @@
     this.#copies[table] = copy;
     const changed = copy.since(before.version);
     if (changed.length === 0) return;
-    if (table === 'operators') this.#applyOperators(copy, source);
-    else this.#applyServers(copy, source, changed.length);
-    this.#onChange();
+    // The copy counts as read even if its application throws: reading it once more would end in the same way.
+    this.faults.contain('table', () => {
+      if (table === 'operators') this.#applyOperators(copy, source);
+      else this.#applyServers(copy, source, changed.length);
+    });
+    this.faults.contain('table', this.#onChange);
   }
 
   /** Applies the desired state and the set of data centres that are out of service. */
   #applyOperators(copy: TableReplica, source: Source): void {
     const rows = copy.rows();
     const stateRow = rows.find(({ key }) => key === desiredStateKey);
-    if (stateRow?.value !== undefined)
-      this.#applyDesiredState(stateRow.value, stateRow.version, source);
+    const { value, version } = stateRow ?? {};
+    if (value !== undefined && version !== undefined)
+      this.faults.contain('table', () => {
+        this.#applyDesiredState(value, version, source);
+      });
     const evacuated = rows
       .filter(({ key }) => key.startsWith(evacuationPrefix))
       .map(({ key }) => key.slice(evacuationPrefix.length));
