Read foreign bodies up to a limit in bytes

What callers saw: with a store that sends a body without end, the router kept all of it until its time limit, on each of two polls and again with each retry. The end of a router for lack of memory loses the requests of all its callers.

`serverControl.ts`, `platform.ts` and the reader of cached parts limited the bytes, but kept each piece with the network buffer that it came in.

Fix: one reader, `readText` of the protocol package, copies pieces to blocks and rejects with an error that names the limit; leaving the loop destroys the stream, and with it the connection. It is used wherever a foreign body is read whole.

--- a/packages/catkinwheel/src/client.ts
+++ b/packages/catkinwheel/src/client.ts
@@ -7,6 +7,7 @@
   decode,
   fleetStatusCodec,
   objectCodec,
+  readText,
   serverStatusesCodec,
   teamUsagesCodec,
   type RolloutStatus,
@@ -38,6 +39,8 @@
 
 /** Long because a change waits for the platform, which may be slow. */
 const responseTimeout: Milliseconds = 20_000;
+/** Maximum size of a response in bytes, above the largest catalogue expected (about 10 MB). */
+const maxResponseBytes = 64 * 1024 * 1024;
 
 type Method = 'GET' | 'PUT' | 'POST';
 type ClientResult<T> = ResultAsync<T, Failure>;
@@ -106,7 +109,7 @@
       signal: AbortSignal.timeout(responseTimeout),
       ...(body === undefined ? {} : { body: JSON.stringify(body) }),
     });
-    return { status: response.statusCode, text: await response.body.text() };
+    return { status: response.statusCode, text: await readText(response.body, maxResponseBytes) };
   }
 }
 
--- a/packages/gateway/src/cachedPartsReader.ts
+++ b/packages/gateway/src/cachedPartsReader.ts
@@ -2,6 +2,7 @@
 // more, so a router that cannot get it from another one reads it from the servers once.
 
 import type { Dispatcher, Members, ServerInstance } from '@catkinwheel/coordination/routing';
+import { readJson } from '@catkinwheel/protocol';
 import { decodeCachedParts, cachedPartsPath } from '@catkinwheel/platform';
 import type { Clock, Milliseconds } from '@catkinwheel/state';
 import { Agent } from 'undici';
@@ -54,10 +55,7 @@
   async #read(instance: ServerInstance): Promise<void> {
     const { dispatcher, log } = this.options;
     const { id: server, address } = instance;
-    const agent = new Agent({
-      connect: { timeout: responseTimeout },
-      maxResponseSize: maxListBytes,
-    });
+    const agent = new Agent({ connect: { timeout: responseTimeout } });
     try {
       const { statusCode, body } = await agent.request({
         origin: `http://${address}`,
@@ -66,7 +64,7 @@
         signal: AbortSignal.timeout(responseTimeout),
       });
       if (statusCode !== 200) throw new Error(`status ${statusCode}`);
-      const json = await body.json();
+      const json = await readJson(body, maxListBytes);
       decodeCachedParts(server, json).match(
         (parts) => {
           if (dispatcher.servers.isRegistered(instance)) dispatcher.addCachedParts(parts);
--- a/packages/gateway/src/peerState.ts
+++ b/packages/gateway/src/peerState.ts
@@ -3,7 +3,7 @@
 
 import type { Clock, Milliseconds } from '@catkinwheel/state';
 import type { Hono } from 'hono';
-import { decodeForeign } from '@catkinwheel/protocol';
+import { decodeForeign, readJson } from '@catkinwheel/protocol';
 import { Codec, array, number, optional, string, tuple, type GetType } from 'purify-ts';
 import type { Dispatcher, Members } from '@catkinwheel/coordination/routing';
 import { Agent } from 'undici';
@@ -13,6 +13,8 @@
 const path = '/state';
 /** Request timeout; responses come from memory, so a router that takes longer is frozen or partitioned. */
 const responseTimeout: Milliseconds = 400;
+/** Largest response in bytes; the tables of the published deployments and the cached parts have some hundred kilobytes. */
+const maxResponseBytes = 8 * 1024 * 1024;
 /** Shortest time between two requests to one router. */
 const minRequestInterval: Milliseconds = 30;
 
@@ -96,7 +98,7 @@
         method: 'GET',
         signal: AbortSignal.timeout(responseTimeout),
       });
-      const json = await body.json();
+      const json = await readJson(body, maxResponseBytes);
       if (statusCode !== 200) throw new Error(`status ${statusCode}`);
       decodeForeign(stateCodec, json).match(
         (state) => {
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,3 +1,4 @@
+export * from './boundedBody.js';
 export * as codecs from './codec.js';
 export * from './catalogueUpdate.js';
 export * from './catalogueCodec.js';
--- a/packages/standins/src/stack/endless.test.ts
+++ b/packages/standins/src/stack/endless.test.ts
@@ -2,7 +2,9 @@
 // their end, keep them, or stop serving others.
 
 import assert from 'node:assert/strict';
+import { createServer } from 'node:http';
 import { mkdtempSync, rmSync } from 'node:fs';
+import type { AddressInfo } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { after, before, describe, test } from 'node:test';
@@ -12,6 +14,7 @@
 import { RouterProcess } from './routerProcess.js';
 import type { EndlessBehaviour } from './behaviour.js';
 import type { StackServer } from './server.js';
+import { sendEndlessly } from './store.js';
 
 /** Time limit of the routes here, and half a second after it in which a request has its final answer. */
 const answerWithin = 3_500;
@@ -107,3 +110,60 @@
     }
   });
 }
+
+/** Largest growth of the router's memory while `isOver` is false, in bytes. */
+async function largestGrowth(
+  observed: RouterProcess,
+  from: number,
+  isOver: () => boolean,
+): Promise<number> {
+  let largest = 0;
+  while (!isOver()) {
+    largest = Math.max(largest, observed.memory() - from);
+    await pause(10);
+  }
+  return largest;
+}
+
+// Guards against LOST: the end of a router for lack of memory, with the requests of all its callers.
+test('responses of the store without end are given up, and requests are served meanwhile', async () => {
+  const end = performance.now() + 4_000;
+  const memory = router.memory();
+  fleet.store.mode = 'endless';
+  const growth = largestGrowth(router, memory, () => performance.now() > end);
+  while (performance.now() < end) {
+    assert.equal((await send('reads')).status, 200);
+    await pause(100);
+  }
+  fleet.store.mode = 'well';
+  assert.ok(
+    (await growth) < memoryWithin,
+    `memory grew by ${((await growth) / 1_048_576).toFixed(0)} MB`,
+  );
+});
+
+// The same, for a router that others ask for its tables.
+test('a response of another router without end is given up', async () => {
+  const peer = createServer((_, response) => {
+    sendEndlessly(response);
+  });
+  await new Promise<void>((resolve) => peer.listen(0, '127.0.0.1', resolve));
+  const seed = `127.0.0.1:${(peer.address() as AddressInfo).port}`;
+  const [link = 0, callers = 0, ready = 0, control = 0, directory = 0] = await freePorts(5);
+  const ports = { link, callers, ready, control, directory };
+  const store = fleet.store.address;
+  const place = { ip: '127.0.0.2', ports, dataCentre: 'suva', store, seeds: [seed] };
+  const asking = RouterProcess.create('router-2', { ...place, folder, grace: 4_000 });
+  asking.start();
+  try {
+    const end = performance.now() + 2_000;
+    const largest = await largestGrowth(asking, 0, () => performance.now() > end);
+    // A router that has just started needs up to 100 MB.
+    const limit = memoryWithin + 100 * 1_048_576;
+    assert.ok(largest < limit, `memory of ${(largest / 1_048_576).toFixed(0)} MB`);
+  } finally {
+    await asking.kill();
+    peer.closeAllConnections();
+    peer.close();
+  }
+});
--- a/packages/standins/src/stack/store.ts
+++ b/packages/standins/src/stack/store.ts
@@ -11,6 +11,8 @@
   | 'busy'
   /** Takes calls and never answers. */
   | 'silent'
+  /** Answers with a body without end. */
+  | 'endless'
   /** Performs writes and breaks the connection before the answer. */
   | 'losesAnswers';
 
@@ -100,6 +102,9 @@
       case 'busy':
         reply(response, 503, {});
         return;
+      case 'endless':
+        sendEndlessly(response);
+        return;
       case 'losesAnswers':
         if (request.method === 'POST') this.#transact(JSON.parse(body) as Transaction);
         response.destroy();
@@ -192,6 +197,17 @@
   response.end(JSON.stringify(body));
 }
 
+/** Sends a body without end, as fast as it is read. */
+export function sendEndlessly(response: ServerResponse): void {
+  const piece = Buffer.alloc(64 * 1024, ' ');
+  const send = (): void => {
+    while (!response.destroyed && response.write(piece));
+  };
+  response.writeHead(200, { 'content-type': 'application/json' });
+  response.on('drain', send);
+  send();
+}
+
 async function text(request: IncomingMessage): Promise<string> {
   const chunks: Buffer[] = [];
   for await (const chunk of request as AsyncIterable<Buffer>) chunks.push(chunk);
--- a/packages/transport/src/platform.ts
+++ b/packages/transport/src/platform.ts
@@ -5,6 +5,7 @@
   commitCodec,
   conflictsCodec,
   decode,
+  readText,
   rowsResponseCodec,
   vmsCodec,
   type Commit,
@@ -67,7 +68,6 @@
     this.#pool = new Pool(options.address, {
       connections: options.connections ?? defaultConnections,
       connect: { timeout: options.connectTimeout },
-      maxResponseSize: maxResponseBytes,
     });
   }
 
@@ -137,7 +137,7 @@
         ? {}
         : { body: JSON.stringify(body), headers: { 'content-type': 'application/json' } }),
     });
-    const text = await response.body.text();
+    const text = await readText(response.body, maxResponseBytes);
     return { status: response.statusCode, body: text === '' ? null : parseJson(text) };
   }
 }
--- a/packages/transport/src/serverControl.ts
+++ b/packages/transport/src/serverControl.ts
@@ -1,7 +1,7 @@
 // Control requests to servers: load reports and orders. They have connections of their own, so that
 // a load report is not delayed by the requests that make up the load.
 
-import { decodeForeign, type LoadReport, type Order } from '@catkinwheel/protocol';
+import { decodeForeign, readText, type LoadReport, type Order } from '@catkinwheel/protocol';
 import type { Milliseconds } from '@catkinwheel/state';
 import { ResultAsync } from 'neverthrow';
 import { array, boolean, Codec, number, optional, string } from 'purify-ts';
@@ -30,9 +30,7 @@
   }
 
   static create(): HttpServerControl {
-    return new HttpServerControl(
-      new Agent({ connections: 1, pipelining: 1, maxResponseSize: maxResponseBytes }),
-    );
+    return new HttpServerControl(new Agent({ connections: 1, pipelining: 1 }));
   }
 
   /** Requests the server's load report. The error is a sentence for a human reader. */
@@ -83,7 +81,7 @@
       signal: AbortSignal.timeout(controlTimeout),
       ...(body === undefined ? {} : { body, headers: { 'content-type': 'application/json' } }),
     });
-    const text = await response.body.text();
+    const text = await readText(response.body, maxResponseBytes);
     if (response.statusCode >= 300) throw new Error(`status ${response.statusCode}`);
     return text === '' ? undefined : JSON.parse(text);
   }
