keepers: end the keeper of a server that the catalogue moves to another service

A new address alone was no fault: calls use the address of the present catalogue, and a restart is told by the boot id of the load report.

Evidence: the new test in keepers.test.ts found the service "app" in place of "next".

The fix: a keeper whose service differs from the catalogue's is stopped and a new one started, which counts permits anew and inherits no limit that was learned for another service.

--- a/packages/coordination/src/keeperSupervisor.ts
+++ b/packages/coordination/src/keeperSupervisor.ts
@@ -126,8 +126,10 @@
     const { servers } = this.#dependencies.catalogue.current();
     for (const [name, running] of this.#running) {
       const role = this.#roleFor(name, servers[name]);
-      const isSame = role?.kind === running.role.kind && role.fence === running.role.fence;
-      if (!isSame) this.#stop(name, running);
+      const isSameRole = role?.kind === running.role.kind && role.fence === running.role.fence;
+      // A server that was moved to another service is another one, though it has the name.
+      const isSameService = servers[name]?.service === running.task.keeper.service;
+      if (!isSameRole || !isSameService) this.#stop(name, running);
     }
     for (const [name, server] of Object.entries(servers)) {
       if (this.#running.has(name)) continue;
@@ -175,7 +177,7 @@
       limits: service,
       model: service.kind === 'model' ? service.model : undefined,
       fence: role.fence,
-      inherited: this.#inheritanceFor(name, role.fence),
+      inherited: this.#inheritanceFor(name, server.service, role.fence),
       nextId: () => (this.#grantCount += 1),
       authority: (phase) => this.#authority(name, role, phase),
     });
@@ -257,11 +259,15 @@
     }
   }
 
-  /** State at the previous keeper; undefined if it is too old or its fence is not the previous one. */
-  #inheritanceFor(server: ServerName, fence: FencingToken): Inheritance | undefined {
+  /** State at the previous keeper; undefined if it is too old, of another service, or its fence is not the previous one. */
+  #inheritanceFor(
+    server: ServerName,
+    service: ServiceName,
+    fence: FencingToken,
+  ): Inheritance | undefined {
     const last = this.#lastStates.get(server);
-    if (last === undefined || this.#dependencies.clock.now() - last.at > maxInheritanceAge)
-      return undefined;
+    if (last?.state.service !== service) return undefined;
+    if (this.#dependencies.clock.now() - last.at > maxInheritanceAge) return undefined;
     return last.state.fence >= fence - 1 ? last.state : undefined;
   }
 }
--- a/packages/coordination/src/keepers.test.ts
+++ b/packages/coordination/src/keepers.test.ts
@@ -264,3 +264,23 @@
     assert.deepEqual(new Set(violations), new Set([0]));
   });
 }
+
+// Guards against permits for a service that has lost the server, and none for the one that has got it.
+test('a server that the catalogue moves to another service is kept for that one', async () => {
+  const fleet = new Fleet({ servers: 1, hasDemand: false });
+  await fleet.run(8_000);
+  const { app } = fleet.catalogue.services;
+  const { s1 } = fleet.catalogue.servers;
+  assert.ok(app !== undefined && s1 !== undefined);
+  fleet.catalogue = {
+    ...fleet.catalogue,
+    revision: 2,
+    services: { app, next: app },
+    servers: { s1: { ...s1, service: 'next', address: 'elsewhere' } },
+  };
+  fleet.server('s1').restart();
+  await fleet.run(5_000);
+  const services = fleet.nodes.flatMap(({ keepers }) => keepers.states().map((one) => one.service));
+  assert.deepEqual(services, ['next']);
+  assert.equal(fleet.keepersOf('s1').length, 1);
+});
