storeReader: read a table in pages where its list of changes is too long

A list of changes above the limit on responses was asked for again and again, since its failure did not differ from others, and the router would have followed the table no longer. It is told apart now, and the table is read in pages, as after a lost history.

--- a/packages/gateway/src/storeReader.ts
+++ b/packages/gateway/src/storeReader.ts
@@ -82,9 +82,11 @@
         if (this.#failing.delete(table)) log.write('store is back', { table });
         continue;
       }
-      isComplete = failure.kind === 'historyLost' ? false : isComplete;
-      if (failure.kind === 'historyLost') {
-        log.write('store lost its history', { table, version: storeReplica.version(table) });
+      if (failure.kind === 'historyLost' || failure.kind === 'tooLong') {
+        isComplete = false;
+        const event =
+          failure.kind === 'tooLong' ? 'changes are too long' : 'store lost its history';
+        log.write(event, { table, version: storeReplica.version(table) });
         const rereadFailure = await this.#contained(table, this.#readAll(table));
         if (rereadFailure === undefined) {
           isComplete = true;
