signals: a planned stop runs once, whatever signals come meanwhile

SIGINT, and SIGTERM or SIGHUP while the router started, ended it by their default actions. In catkinwheeld any second signal, also a second `catkinwheel stop`, aborted all requests. Cause: Gateway.stop returned at once if the router was stopping, and the entry point exited when it returned. Handlers were installed only after the start; SIGINT had none. ProcessSignals catches the signals from the evaluation of the first module on and keeps those that come before the program can act on them; it calls `stop` once. Gateway.stop returns the one stop to every caller.

--- a/packages/catkinwheeld/src/main.ts
+++ b/packages/catkinwheeld/src/main.ts
@@ -1,6 +1,8 @@
 #!/usr/bin/env node
 // Command line of the router daemon: options, signals and exit codes.
 
+// Loaded before all other modules, so that signals during their evaluation are kept.
+import { processSignals } from '@catkinwheel/transport/processSignals';
 import { readFileSync } from 'node:fs';
 import sade from 'sade';
 import { Daemon } from './daemon.js';
@@ -64,30 +66,27 @@
   handleSignals(daemon, eventLog);
 }
 
-/** SIGTERM and SIGINT stop gracefully, a second one at once; SIGHUP reloads the TLS files. */
+/** SIGTERM and SIGINT stop gracefully, once; a further SIGINT from a terminal stops at once. SIGHUP reloads the TLS files. */
 function handleSignals(daemon: Daemon, eventLog: RouterEventLog): void {
-  let isStopping = false;
-  const stop = (): void => {
-    if (isStopping) {
+  processSignals.handle({
+    stop: () => {
+      void daemon.stop().then(() => {
+        process.exit(exitCodes.stopped);
+      });
+    },
+    abort: () => {
       void daemon.abort().then((abortedRequests) => {
         process.exit(abortedRequests > 0 ? exitCodes.cut : exitCodes.stopped);
       });
-      return;
-    }
-    isStopping = true;
-    void daemon.stop().then(() => {
-      process.exit(exitCodes.stopped);
-    });
-  };
-  process.on('SIGTERM', stop);
-  process.on('SIGINT', stop);
-  process.on('SIGHUP', () => {
-    try {
-      daemon.reloadTls();
-      eventLog.record('tls reloaded');
-    } catch (error) {
-      eventLog.fault('tls not reloaded', { error: messageOf(error) });
-    }
+    },
+    reload: () => {
+      try {
+        daemon.reloadTls();
+        eventLog.record('tls reloaded');
+      } catch (error) {
+        eventLog.fault('tls not reloaded', { error: messageOf(error) });
+      }
+    },
   });
 }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -86,6 +86,8 @@
   readonly #eventLoopLag: EventLoopLag;
   readonly #workTimer: WorkTimer;
   readonly #stops: PlannedStops;
+  /** Set once the planned stop has begun. */
+  #stopping: Promise<void> | undefined;
   /** Whether new connections are handed over to other routers. */
   #isHandingOver = false;
   /** Event-loop times at the last log line about the load. */
@@ -212,11 +214,15 @@
   /**
    * Stops gracefully: reports itself as not ready at once, serves new requests that can be answered before its end while callers
    * may not have seen that, refuses the others, and resolves when no request is in flight or the grace time is nearly over. By
-   * then each request has got a response, unless its caller already has a part of one.
+   * then each request has got a response, unless its caller already has a part of one. Further calls wait for the same stop.
    */
-  async stop(): Promise<void> {
+  stop(): Promise<void> {
+    this.#stopping ??= this.#stop();
+    return this.#stopping;
+  }
+
+  async #stop(): Promise<void> {
     const stops = this.#stops;
-    if (stops.isStopping) return;
     const clock = this.#clock;
     const killedAt = clock.now() + this.settings.bounds.grace;
     stops.begin();
--- a/packages/gateway/src/main.ts
+++ b/packages/gateway/src/main.ts
@@ -1,5 +1,7 @@
 // Entry point of the router in a platform deployment. An environment variable holds the path of its settings file.
 
+// Loaded before all other modules, so that signals during their evaluation are kept.
+import { processSignals } from '@catkinwheel/transport/processSignals';
 import { readFileSync } from 'node:fs';
 import { decodeSettings, settingsVariable, type Settings } from '@catkinwheel/platform';
 import { Gateway } from './gateway.js';
@@ -30,17 +32,19 @@
 
 try {
   const gateway = await Gateway.start(settings);
-  process.on('SIGTERM', () => {
-    void gateway.stop().then(() => process.exit(exitCodes.stopped));
-  });
-  // SIGHUP only checks the settings file: changed settings take effect when the process is restarted.
-  process.on('SIGHUP', () => {
-    try {
-      readSettings();
-      gateway.reloaded();
-    } catch (error) {
-      process.stderr.write(`catkinwheel: settings not read again: ${String(error)}\n`);
-    }
+  processSignals.handle({
+    stop: () => {
+      void gateway.stop().then(() => process.exit(exitCodes.stopped));
+    },
+    // SIGHUP only checks the settings file: changed settings take effect when the process is restarted.
+    reload: () => {
+      try {
+        readSettings();
+        gateway.reloaded();
+      } catch (error) {
+        process.stderr.write(`catkinwheel: settings not read again: ${String(error)}\n`);
+      }
+    },
   });
 } catch (error) {
   fail(exitCodes.failed, error);
--- a/packages/standins/src/child.ts
+++ b/packages/standins/src/child.ts
@@ -108,6 +108,10 @@
     this.#process.kill('SIGCONT');
   }
 
+  signal(name: NodeJS.Signals): void {
+    this.#process.kill(name);
+  }
+
   /** Asks the child to end; resolves with its exit code. */
   async stop(): Promise<number | null> {
     this.#process.kill('SIGTERM');
--- a/packages/standins/src/processes.test.ts
+++ b/packages/standins/src/processes.test.ts
@@ -79,6 +79,20 @@
   await assertSound(fleet, load);
 });
 
+// Guards against a second signal that cuts the requests that the first one lets end.
+test('signals that come again during a planned stop cut no request', async (t) => {
+  const { fleet, load } = await underLoad(t);
+  const [first] = fleet.routers;
+  for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP', 'SIGTERM'] as const) {
+    first?.child.signal(signal);
+    await clock.sleep(300);
+  }
+  await load.finish(finishWithin);
+  assert.equal(await first?.child.exited, 0);
+  assert.equal(load.totals.mayHaveRun, 0);
+  await assertSound(fleet, load);
+});
+
 test('service goes on while the platform is down for longer than every lease', async (t) => {
   const { fleet, load } = await underLoad(t);
   await fleet.faults({ outage: 'refuse' });
--- a/packages/standins/src/stack/plannedStop.test.ts
+++ b/packages/standins/src/stack/plannedStop.test.ts
@@ -169,6 +169,20 @@
   trial: StopTrial,
   ip: string,
   grace: Milliseconds,
+): Promise<RouterProcess> {
+  const router = await createRouter(t, trial, ip, grace);
+  router.start();
+  await router.ready();
+  await pause(settleTime);
+  return router;
+}
+
+async function createRouter(
+  t: TestContext,
+  trial: StopTrial,
+  ip: string,
+  grace: Milliseconds,
+  nodeOptions: readonly string[] = [],
 ): Promise<RouterProcess> {
   const folder = mkdtempSync(join(tmpdir(), 'catkinwheel-'));
   const [link = 0, callers = 0, ready = 0, control = 0, directory = 0] = await freePorts(5);
@@ -180,14 +194,12 @@
     seeds: [],
     folder,
     grace,
+    nodeOptions,
   });
-  router.start();
   t.after(async () => {
     await router.kill();
     rmSync(folder, { recursive: true });
   });
-  await router.ready();
-  await pause(settleTime);
   return router;
 }
 
@@ -225,6 +237,63 @@
     }
 });
 
+/** Time between two signals that come in a series: shorter than any request. */
+const signalInterval: Milliseconds = 300;
+
+describe('signals that come again during a planned stop', { concurrency: true }, () => {
+  const series: readonly (readonly NodeJS.Signals[])[] = [
+    ['SIGTERM', 'SIGTERM'],
+    ['SIGTERM', 'SIGINT', 'SIGHUP', 'SIGTERM'],
+    ['SIGHUP', 'SIGINT', 'SIGTERM', 'SIGINT'],
+  ];
+  for (const [index, signals] of series.entries())
+    // Guards against LOST: a router that ends at a further signal cuts all requests that it has at servers.
+    test(`${signals.join(', ')} cut no request`, async (t) => {
+      const grace: Milliseconds = 8_000;
+      const trial = await StopTrial.start(10_000);
+      t.after(() => trial.close());
+      const router = await startRouter(t, trial, `127.0.0.${40 + index}`, grace);
+      trial.ask(router.callers);
+      await pause(before);
+      const stopAt = performance.now();
+      for (const signal of signals) {
+        router.signal(signal);
+        await pause(signalInterval);
+      }
+      const exited = router.exited.then((code) => ({ code, endedAt: performance.now() }));
+      await Promise.race([exited, pause(after)]);
+      await trial.finish();
+      const { code, endedAt } = await exited;
+      assert.equal(code, 0);
+      assert.ok(endedAt - stopAt < grace + signalInterval, `ended after ${endedAt - stopAt} ms`);
+      assert.deepEqual(trial.lost(stopAt, grace), []);
+      assert.deepEqual(trial.falselyRefused(), []);
+    });
+});
+
+describe('signals that come while a router starts', { concurrency: true }, () => {
+  for (const [index, signal] of (['SIGTERM', 'SIGINT', 'SIGHUP'] as const).entries())
+    // Guards against a start that a signal ends by its default action.
+    test(`${signal} is acted on once the router has started`, async (t) => {
+      const trial = await StopTrial.start(2_500);
+      t.after(() => trial.close());
+      // The process signals itself with its first log line, when no listener is open yet.
+      const preload = `const write = process.stdout.write.bind(process.stdout);
+        process.stdout.write = (line, ...rest) => {
+          if (String(line).includes('"starting"')) process.kill(process.pid, '${signal}');
+          return write(line, ...rest);
+        };`;
+      const options = [`--import=data:text/javascript,${encodeURIComponent(preload)}`];
+      const router = await createRouter(t, trial, `127.0.0.${45 + index}`, 1_000, options);
+      router.start();
+      if (signal === 'SIGHUP') {
+        await router.ready();
+        await router.stop();
+      }
+      assert.equal(await router.exited, 0);
+    });
+});
+
 /** Time in which heartbeats tell the other routers that one stops. */
 const noticeTime: Milliseconds = 300;
 
--- a/packages/standins/src/stack/routerProcess.ts
+++ b/packages/standins/src/stack/routerProcess.ts
@@ -81,6 +81,11 @@
     return this.#child !== undefined;
   }
 
+  /** Resolves with the exit code once the process has ended; with null if a signal ended it. */
+  get exited(): Promise<number | null> {
+    return this.#exited;
+  }
+
   start(): void {
     const { ip, ports, dataCentre, store, seeds, folder, grace, capacity = 1 } = this.options;
     const { nodeOptions = [], program = gatewayMain } = this.options;
@@ -166,7 +171,7 @@
     return { user: Number(fields[11]) * clockTick, system: Number(fields[12]) * clockTick };
   }
 
-  signal(name: 'SIGSTOP' | 'SIGCONT' | 'SIGHUP'): void {
+  signal(name: NodeJS.Signals): void {
     this.#child?.kill(name);
   }
 
