routing: believe an earlier start time that a registration goes on naming

Cause: a start time was the only sign by which a late write was told.

The fix: such a registration is passed over for 4 s. A present instance that is alive writes again within a heartbeat interval (1.2 s in the published settings), and the registration of one that has ended expires after three. What is still in the store after that names the present instance, so the departure, the removal, the hold-off and the cold rate of the one before are dropped.

--- a/packages/coordination/src/routing/coldStart.ts
+++ b/packages/coordination/src/routing/coldStart.ts
@@ -58,6 +58,11 @@
     this.#sent.set(server, [...this.#recent(server), this.clock.now()]);
   }
 
+  /** Stops counting requests to an instance that another one has replaced. */
+  forget(server: ServerInstance): void {
+    this.#sent.delete(server);
+  }
+
   /** Requests that this router may send to the server in each period. */
   #share({ id }: ServerInstance, rate: number): number {
     const total = Math.floor(usedFraction * (rate * this.bound.factor + this.bound.slack));
--- a/packages/coordination/src/routing/departures.ts
+++ b/packages/coordination/src/routing/departures.ts
@@ -37,6 +37,11 @@
     return isRecorded && known === undefined;
   }
 
+  /** Forgets the departure of whichever instance has the id. */
+  forget(id: string): void {
+    this.#departures.deleteId(id);
+  }
+
   has(instance: ServerInstance): boolean {
     return this.#departures.get(instance) !== undefined;
   }
--- a/packages/coordination/src/routing/dispatcher.ts
+++ b/packages/coordination/src/routing/dispatcher.ts
@@ -659,6 +659,8 @@
       if (!this.servers.isReplaced(instance)) continue;
       const isOther = ({ server }: CachedPart): boolean => server !== id;
       this.#loads.forget(instance);
+      this.#holdOffs.forget(instance);
+      this.#coldStart.forget(instance);
       this.#reports.forget(id);
       this.#unreportedParts = this.#unreportedParts.filter(isOther);
       this.#summaryParts = this.#summaryParts.filter(isOther);
--- a/packages/coordination/src/routing/holdOffs.ts
+++ b/packages/coordination/src/routing/holdOffs.ts
@@ -31,6 +31,11 @@
     return until === undefined ? 0 : Math.max(0, until - this.clock.now());
   }
 
+  /** Drops the time of an instance that another one has replaced. */
+  forget(instance: ServerInstance): void {
+    this.#holdOffs.delete(instance);
+  }
+
   /** Drops times that have passed. */
   expire(): void {
     const now = this.clock.now();
--- a/packages/coordination/src/routing/serverInstance.ts
+++ b/packages/coordination/src/routing/serverInstance.ts
@@ -70,6 +70,11 @@
       this.#entries.delete(instance.id);
   }
 
+  /** Removes the value of whichever instance has the id. */
+  deleteId(id: string): void {
+    this.#entries.delete(id);
+  }
+
   /** Instances with their values. */
   *entries(): Generator<readonly [ServerInstance, Value], void, void> {
     for (const { instance, value } of this.#entries.values()) yield [instance, value];
--- a/packages/coordination/src/routing/serverTable.test.ts
+++ b/packages/coordination/src/routing/serverTable.test.ts
@@ -139,3 +139,33 @@
   table.update([former], false);
   assert.equal(table.get('a'), undefined);
 });
+
+// Guards against a server that is never reached again since the clock of its new machine is behind that of the former one.
+test('a registration that goes on naming an earlier start replaces the later one in the end', async () => {
+  const clock = Clock.manual();
+  const table = ServerTable.create(clock);
+  const former = server('a', { born: 2, address: '10.0.0.1:81' });
+  const present = server('a', { born: 1, address: '10.0.0.1:82' });
+  table.update([former], false);
+  table.recordLeaving(former);
+  table.update([present], false);
+  assert.ok(table.isRegistered(former));
+  await clock.advance(4_000);
+  assert.deepEqual(idsOf(table.expire()), ['a']);
+  assert.ok(table.isRegistered(present) && table.get('a')?.isLeaving === false);
+  assert.deepEqual(idsOf(table.expire()), []);
+});
+
+// Guards against late writes that add up: each one counts from its own time.
+test('a later registration of the present instance ends the wait for an earlier start', async () => {
+  const clock = Clock.manual();
+  const table = ServerTable.create(clock);
+  const former = server('a', { address: '10.0.0.1:81' });
+  const present = server('a', { born: 2, address: '10.0.0.1:82' });
+  for (const registered of [former, present, former]) table.update([registered], false);
+  await clock.advance(3_000);
+  for (const registered of [present, former]) table.update([registered], false);
+  await clock.advance(3_000);
+  assert.deepEqual(idsOf(table.expire()), []);
+  assert.ok(table.isRegistered(present));
+});
--- a/packages/coordination/src/routing/serverTable.ts
+++ b/packages/coordination/src/routing/serverTable.ts
@@ -23,6 +23,11 @@
  * sooner has crashed.
  */
 const minDrainTime: Milliseconds = 1_000;
+/**
+ * Time after which a registration with an earlier start time than one known is believed: it was not written late, since the later
+ * instance would have written again or its registration would have expired, so the clocks of the two machines differ.
+ */
+const lateWriteTime: Milliseconds = 4_000;
 /** Time for which it is remembered when a registration went. */
 const removalMemory: Milliseconds = 60_000;
 
@@ -37,12 +42,22 @@
   readonly lapses: Milliseconds | undefined;
 }
 
+/** A registration with an earlier start time than one known, and since when it has been the one in the store. */
+interface EarlierStart {
+  readonly server: Server;
+  readonly since: Milliseconds;
+}
+
 /** The present instance of each id. Changed only by `update`, `recordLeaving`, `markCold` and `expire`. */
 export class ServerTable {
   #servers: ReadonlyMap<string, KnownServer> = new Map();
   readonly #departures: Departures;
   /** When the registrations of instances went. */
   readonly #removals = InstanceMap.create<Milliseconds>();
+  /** What `update` was called with last. */
+  #registrations: readonly [present: readonly Server[], storeAway: boolean] = [[], false];
+  /** By id. */
+  #earlierStarts: ReadonlyMap<string, EarlierStart> = new Map();
 
   private constructor(private readonly clock: Clock) {
     this.#departures = Departures.create(clock);
@@ -60,11 +75,20 @@
     const now = this.clock.now();
     const next = new Map<string, KnownServer>();
     const stale: ServerInstance[] = [];
+    const earlierStarts = new Map<string, EarlierStart>();
     for (const server of present) {
       const known = this.#servers.get(server.id);
-      if (this.#isOutdated(server, known)) {
-        if (known !== undefined) next.set(known.id, known);
-        continue;
+      if (this.#startsEarlier(server, known)) {
+        const before = this.#earlierStarts.get(server.id);
+        const isSame = before !== undefined && isSameInstance(before.server, server);
+        const since = isSame ? before.since : now;
+        if (now - since < lateWriteTime) {
+          earlierStarts.set(server.id, { server, since });
+          if (known !== undefined) next.set(known.id, known);
+          continue;
+        }
+        this.#removals.deleteId(server.id);
+        this.#departures.forget(server.id);
       }
       const isRestarted = known !== undefined && !isSameInstance(known, server);
       if (isRestarted) stale.push(known);
@@ -84,6 +108,8 @@
       }
     }
     this.#servers = next;
+    this.#earlierStarts = earlierStarts;
+    this.#registrations = [present, storeAway];
     return stale;
   }
 
@@ -109,20 +135,27 @@
     this.#servers = new Map(this.#servers).set(known.id, { ...known, coldUntil });
   }
 
-  /** Drops servers whose registrations were not renewed in time; returns their instances. */
+  /**
+   * Drops servers whose registrations were not renewed in time, and instances whose registrations have long named an earlier start;
+   * returns these instances.
+   */
   expire(): readonly ServerInstance[] {
     const now = this.clock.now();
     this.#departures.expire((id) => this.#servers.has(id));
     for (const [instance, at] of this.#removals.entries())
       if (at < now - removalMemory) this.#removals.delete(instance);
+    const isDue = [...this.#earlierStarts.values()].some(
+      ({ since }) => now - since >= lateWriteTime,
+    );
+    const replaced = isDue ? this.update(...this.#registrations) : [];
     const expired = [...this.#servers.values()].filter(
       ({ lapses }) => lapses !== undefined && lapses <= now,
     );
-    if (expired.length === 0) return [];
+    if (expired.length === 0) return replaced;
     const next = new Map(this.#servers);
     for (const { id } of expired) next.delete(id);
     this.#servers = next;
-    return expired;
+    return [...replaced, ...expired];
   }
 
   /** Whether the instance may end now as planned: it has said that it leaves, or has been off the list for long enough. */
@@ -171,7 +204,7 @@
   }
 
   /** Whether a later instance is registered under the id or was lately: a write of the former one may come last. */
-  #isOutdated(server: Server, known: KnownServer | undefined): boolean {
+  #startsEarlier(server: Server, known: KnownServer | undefined): boolean {
     const isOlder = known !== undefined && isOlderInstance(server, known);
     return isOlder || this.#removals.hasLater(server);
   }
