transport: collect small pieces of a response into one part

What callers saw: a server that sent a body in chunks of one byte, without end, kept its router busy, and the router's memory grew with each caller that did not read.

Cause: each chunk was a part of its own in the queue of the exchange, where only the bytes of the body counted: 64 KiB of them are 65,536 parts. The splitter of events and the parser of events go through what they hold at each part, which is quadratic for an event in chunks of one byte.

Evidence: before, "bytes in chunks of one byte come in few parts" failed with 200,010 parts (fewer than 500 are allowed); "events in chunks of one byte come in few parts" and "unread chunks of one byte take little memory" did not end within 40 s.

Fix: an exchange collects the pieces that arrive until its reader takes them, as it did with events, and joins every 64; events are parsed when the reader takes them. A part then holds what one read of the socket brought.

--- a/packages/transport/src/backend.test.ts
+++ b/packages/transport/src/backend.test.ts
@@ -280,3 +280,49 @@
   assert.match((await control.load(address))._unsafeUnwrapErr(), /malformed/);
   assert.ok((await control.load(address)).isErr());
 });
+
+/** Chunks of one byte each. */
+function oneByteChunks(text: string): string {
+  return Array.from(text, (character) => chunk(character)).join('');
+}
+
+// Guards against work and memory of thousands of times the body: each chunk was a part of its own.
+for (const body of ['bytes', 'events'] as const) {
+  test(`${body} in chunks of one byte come in few parts`, async () => {
+    const text = `data: ${'x'.repeat(200_000)}\n\n`;
+    const address = await serve((socket, request) => {
+      socket.write(`${responseHead(request, events)}${oneByteChunks(text)}0\r\n\r\n`);
+    });
+    const all = await collect(
+      backend.send(address, attemptOf('a', body), new AbortController().signal),
+    );
+    const received = body === 'bytes' ? text : `[${'x'.repeat(200_000)}]`;
+    assert.equal(summary(all).replace(/ (alive )*/g, ''), `a${received.replace(/ /g, '')}end`);
+    assert.ok(all.length < 500, `${all.length} parts`);
+  });
+}
+
+test('unread chunks of one byte take little memory', async () => {
+  const piece = oneByteChunks('x'.repeat(2_000));
+  const address = await serve((socket, request) => {
+    const send = (): void => {
+      while (!socket.destroyed && socket.write(piece));
+    };
+    socket.on('drain', send);
+    socket.write(responseHead(request, 'transfer-encoding: chunked'));
+    send();
+  });
+  const before = process.memoryUsage().rss;
+  const controller = new AbortController();
+  const heads = Array.from({ length: 40 }, async (_, index) => {
+    const parts = backend.send(address, attemptOf(`unread-${index}`), controller.signal);
+    assert.equal((await parts.next()).value?.kind, 'head');
+    return parts;
+  });
+  const unread = await Promise.all(heads);
+  await new Promise((resolve) => setTimeout(resolve, 1_000));
+  const grown = (process.memoryUsage().rss - before) / 1_048_576;
+  controller.abort();
+  await Promise.all(unread.map(collect));
+  assert.ok(grown < 150, `memory grew by ${grown.toFixed(0)} MB`);
+});
--- a/packages/transport/src/exchange.ts
+++ b/packages/transport/src/exchange.ts
@@ -11,6 +11,8 @@
 
 /** Bytes that are buffered for the reader before the connection is paused. */
 const highWaterMark = 64 * 1024;
+/** Number of collected pieces that are joined into one, since a piece of a few bytes has a large memory overhead. */
+const maxCollectedPieces = 64;
 /** Maximum number of interim (1xx) responses before the final one. */
 const maxInterimResponses = 16;
 /**
@@ -52,7 +54,10 @@
   #wake: (() => void) | undefined;
   #parser: EventSourceParser | undefined;
   #decoder: StringDecoder | undefined;
+  /** Events of the pieces that are being parsed. */
   #events: string[] = [];
+  /** Pieces of the body that the reader has not taken yet. */
+  #pieces: Buffer[] = [];
   #queuedBytes = 0;
   #interimResponses = 0;
   #received: ReceivedBytes | undefined;
@@ -167,8 +172,7 @@
   onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
     if (this.#isEnded) return;
     this.#recordUse();
-    if (this.#parser === undefined) this.#push({ kind: 'bytes', bytes: chunk });
-    else this.#parseChunk(this.#parser, chunk);
+    this.#collect(chunk);
     this.#queuedBytes += chunk.byteLength;
     if (this.#queuedBytes >= highWaterMark) controller.pause();
   }
@@ -209,28 +213,38 @@
     });
   }
 
-  #parseChunk(parser: EventSourceParser, chunk: Buffer): void {
-    parser.feed(this.#decoder?.write(chunk) ?? '');
-    // Events are collected into one part until the reader takes it, since a part costs more than
-    // an event.
-    if (this.#events.length === 0) this.#push({ kind: 'alive' });
-    else this.#wake?.();
+  /**
+   * Pieces are collected into one part until the reader takes it: a part, and a pass of the event
+   * parser, cost far more than a piece of a few bytes.
+   */
+  #collect(piece: Buffer): void {
+    this.#pieces.push(piece);
+    if (this.#pieces.length > maxCollectedPieces) this.#pieces = [Buffer.concat(this.#pieces)];
+    this.#wake?.();
   }
 
   /**
-   * The next part in the order of arrival. Collected events arrived before the queued parts, except
+   * The next part in the order of arrival. The collected pieces arrived before the queued parts, except
    * for the header.
    */
   #takePart(): ResponsePart | undefined {
-    if (this.#queue[0]?.kind === 'head' || this.#events.length === 0) {
+    const [first, ...others] = this.#pieces;
+    if (this.#queue[0]?.kind === 'head' || first === undefined) {
       const part = this.#queue.shift();
-      if (this.#queue.length === 0 && this.#events.length === 0) this.#queuedBytes = 0;
+      if (this.#queue.length === 0 && first === undefined) this.#queuedBytes = 0;
       return part;
     }
+    this.#pieces = [];
+    this.#queuedBytes = 0;
+    const bytes = others.length === 0 ? first : Buffer.concat([first, ...others]);
+    return this.#parser === undefined ? { kind: 'bytes', bytes } : this.#parse(this.#parser, bytes);
+  }
+
+  #parse(parser: EventSourceParser, bytes: Buffer): ResponsePart {
+    parser.feed(this.#decoder?.write(bytes) ?? '');
     const data = this.#events;
     this.#events = [];
-    this.#queuedBytes = 0;
-    return { kind: 'events', data };
+    return data.length === 0 ? { kind: 'alive' } : { kind: 'events', data };
   }
 
   #fail(error: Error): void {
@@ -262,7 +276,7 @@
 
   async #waitForPart(): Promise<void> {
     if (this.#controller?.paused === true) this.#controller.resume();
-    if (this.#queue.length > 0 || this.#events.length > 0) return;
+    if (this.#queue.length > 0 || this.#pieces.length > 0) return;
     await new Promise<void>((resolve) => {
       this.#wake = resolve;
     });
