routing: bound the queue of unreported prompt parts and the prefix index

Cause: each grant appended the new parts of its prompt to a list, copied whole at each grant and report, of which a report takes 12. Nothing bounded it. The index of prefix caches had a bound in tokens only: with parts of 8 tokens some 50,000 entries for each server, and ids of any length.

Fix: the queue holds 512 parts; what does not fit is not reported, so that the first parts of prompts are kept, and costs another server a prefill. The index has 12 MiB in all; the least recently used parts of the largest cache go first. What a router sends to another one as its state fits the limit of that response.

--- a/packages/coordination/src/routing/dispatcher.test.ts
+++ b/packages/coordination/src/routing/dispatcher.test.ts
@@ -288,3 +288,28 @@
   assert.ok(grant?.kind === 'server');
   assert.equal(grant.server.id, 'b');
 });
+
+// Guards against LOST: the end of a router for lack of memory, since each prompt names more new parts than reports carry.
+test('new prompt parts wait for reports in a bounded queue, the first ones of a prompt before the others', async () => {
+  const clock = Clock.manual(1_000);
+  const router = dispatcher(clock);
+  router.applyServers([server('a')], false);
+  const partsOf = (name: string): Request['prompt'] => ({
+    model: 'm',
+    promptTokens: 1_000,
+    outputLimit: 1,
+    parts: Array.from({ length: 1_000 }, (_, index) => ({ id: `${name}-${index}`, tokens: 1 })),
+  });
+  for (let count = 0; count < 20; count += 1) {
+    const prompt = partsOf(`p${count}`);
+    const grant = await settled(clock, router.acquire(request(clock, { prompt }), never));
+    assert.ok(grant?.kind === 'server');
+    grant.started();
+    grant.finish('answered');
+  }
+  const reported: string[] = [];
+  for (let parts = router.report().parts; parts.length > 0; parts = router.report().parts)
+    reported.push(...parts.map(({ part }) => part));
+  assert.ok(reported.length <= 1_000, `${reported.length} parts wait`);
+  assert.equal(reported[0], 'm/p0-0');
+});
--- a/packages/coordination/src/routing/dispatcher.ts
+++ b/packages/coordination/src/routing/dispatcher.ts
@@ -35,6 +35,7 @@
 import type { ServerInstance } from './serverInstance.js';
 import { TeamUsage, type Charge } from './teamUsage.js';
 import { TimeBudgets } from './timeBudgets.js';
+import { UnreportedParts } from './unreportedParts.js';
 import type { WorkTimer } from './workTimer.js';
 
 /**
@@ -155,7 +156,7 @@
   readonly #requests = new WeakMap<Job, Request>();
   readonly #grants = new WeakMap<Job, Grant>();
   /** Parts cached by requests of this router, not yet sent in a report. */
-  #unreportedParts: readonly CachedPart[] = [];
+  readonly #unreportedParts = UnreportedParts.create();
   /** Recently cached parts reported by routers of this data centre, not yet sent in a summary. */
   #summaryParts: readonly CachedPart[] = [];
   #table: RouteTable | undefined;
@@ -330,8 +331,7 @@
 
   /** Makes the next report to other routers. Each cached part is reported once. */
   report(): Report {
-    const parts = this.#unreportedParts.slice(0, maxReportedParts);
-    this.#unreportedParts = this.#unreportedParts.slice(maxReportedParts);
+    const parts = this.#unreportedParts.take(maxReportedParts);
     this.#keepForSummary(parts);
     return { ...this.#ownReport(), parts };
   }
@@ -443,10 +443,9 @@
     const { clock } = this.options;
     if (this.#hasColdRate(server)) this.#coldStart.recordSent(server);
     if (request.prompt !== undefined && service.engine !== undefined)
-      this.#unreportedParts = [
-        ...this.#unreportedParts,
-        ...this.#prefixCaches.recordPrefill(server, service.engine.memory, request.prompt),
-      ];
+      this.#unreportedParts.add(
+        this.#prefixCaches.recordPrefill(server, service.engine.memory, request.prompt),
+      );
     const run = this.#poisonGuard.begin(server, request.prompt, () => this.servers.mayEnd(server));
     const sent = clock.now();
     let startedAt: Milliseconds | undefined;
@@ -657,13 +656,12 @@
       this.serverHealth.forget(instance);
       // One that is gone may be back soon, with its requests still in flight.
       if (!this.servers.isReplaced(instance)) continue;
-      const isOther = ({ server }: CachedPart): boolean => server !== id;
       this.#loads.forget(instance);
       this.#holdOffs.forget(instance);
       this.#coldStart.forget(instance);
       this.#reports.forget(id);
-      this.#unreportedParts = this.#unreportedParts.filter(isOther);
-      this.#summaryParts = this.#summaryParts.filter(isOther);
+      this.#unreportedParts.forget(id);
+      this.#summaryParts = this.#summaryParts.filter(({ server }) => server !== id);
     }
   }
 }
--- a/packages/coordination/src/routing/prefixCacheIndex.test.ts
+++ b/packages/coordination/src/routing/prefixCacheIndex.test.ts
@@ -47,3 +47,35 @@
   index.forget(a);
   assert.equal(index.uncachedTokens(a, prompt('story', 'two')), 16_000);
 });
+
+// Guards against the end of a router for lack of memory where prompts name very many parts.
+test('the index has a bounded size, and drops the least recently used parts of the largest cache', () => {
+  const index = PrefixCacheIndex.create();
+  const [small, large] = [server('small'), server('large')];
+  index.add(small, 1_000_000_000, 'm/kept', 1);
+  for (let count = 0; count < 300_000; count += 1)
+    index.add(large, 1_000_000_000, `m/${count.toString(16).padStart(8, '0')}`, 1);
+  const size = (id: string): number => index.all().filter((cached) => cached.server === id).length;
+  assert.equal(size('small'), 1);
+  assert.ok(size('large') < 150_000, `${size('large')} parts`);
+  assert.equal(index.all().at(-1)?.part, `m/${(299_999).toString(16).padStart(8, '0')}`);
+  index.forget(large);
+  index.add(large, 1_000_000_000, 'm/first', 1);
+  assert.equal(size('large'), 1);
+});
+
+test('a long id counts against the size of the index', () => {
+  const index = PrefixCacheIndex.create();
+  const id = 'x'.repeat(16_000);
+  for (let count = 0; count < 2_000; count += 1) index.add(a, 1_000_000_000, `${id}${count}`, 1);
+  assert.ok(index.all().length < 1_000, `${index.all().length} parts`);
+});
+
+// Guards against memory that stays counted for a former instance, so that the index is emptied for nothing.
+test('the parts of a former instance do not count once its id has another one', () => {
+  const index = PrefixCacheIndex.create();
+  for (let born = 1; born <= 20; born += 1)
+    for (let count = 0; count < 20_000; count += 1)
+      index.add(server('large', { born }), 1_000_000_000, `m/${count}`, 1);
+  assert.equal(index.all().length, 20_000);
+});
--- a/packages/gateway/src/peerState.ts
+++ b/packages/gateway/src/peerState.ts
@@ -13,8 +13,8 @@
 const path = '/state';
 /** Request timeout; responses come from memory, so a router that takes longer is frozen or partitioned. */
 const responseTimeout: Milliseconds = 400;
-/** Largest response in bytes; the tables of the published deployments and the cached parts have some hundred kilobytes. */
-const maxResponseBytes = 8 * 1024 * 1024;
+/** Largest response in bytes. It has to hold the tables and all of `PrefixCacheIndex`. */
+const maxResponseBytes = 16 * 1024 * 1024;
 /** Shortest time between two requests to one router. */
 const minRequestInterval: Milliseconds = 30;
 
