--- a/packages/coordination/src/routing/poisonParts.ts
+++ b/packages/coordination/src/routing/poisonParts.ts
@@ -94,11 +94,11 @@
     }
   }
 
-  /** Takes over the block of another router, unless this router has seen a request with the part answered. */
+  /** Takes over the block of another router, for at most `blockTime`, unless this router has seen a request with the part answered. */
   adopt([part, remaining]: TimedPart): boolean {
     if (remaining < minAdoptedTime || this.#proofs.has(part) || this.#isBlocked(part)) return false;
     const now = this.clock.now();
-    this.#blocks.set(part, { at: now, until: now + remaining });
+    this.#blocks.set(part, { at: now, until: now + Math.min(remaining, blockTime) });
     return true;
   }
 
--- a/packages/gateway/src/crashEvidence.ts
+++ b/packages/gateway/src/crashEvidence.ts
@@ -3,31 +3,29 @@
 
 import type { CrashEvidence } from '@catkinwheel/coordination/routing';
 import type { Milliseconds } from '@catkinwheel/state';
-import {
-  Codec,
-  array,
-  boolean,
-  nullable,
-  number,
-  optional,
-  string,
-  tuple,
-  type GetType,
-} from 'purify-ts';
+import { amount, wholeNumber } from '@catkinwheel/protocol';
+import { Codec, array, boolean, nullable, optional, string, tuple, type GetType } from 'purify-ts';
 
 /** Part, its position in the prompt, and requests with it. */
-const partCodec = tuple([string, number, number]);
+const partCodec = tuple([string, wholeNumber, wholeNumber]);
 /** Reporting router, server, its start time, age of the report, whether the end is confirmed, implicated parts. */
-const crashCodec = tuple([string, string, nullable(number), number, boolean, array(partCodec)]);
+const crashCodec = tuple([
+  string,
+  string,
+  nullable(wholeNumber),
+  amount,
+  boolean,
+  array(partCodec),
+]);
 
 export const evidenceCodec = Codec.interface({
   crashes: array(crashCodec),
   /** Addresses of the servers of `crashes`, in the same order; routers of earlier versions send none. */
   addresses: optional(array(string)),
   /** Parts that are sound, with the ages of the proofs. */
-  sound: array(tuple([string, number])),
+  sound: array(tuple([string, amount])),
   /** Blocked parts, with the remaining times. */
-  blocked: array(tuple([string, number])),
+  blocked: array(tuple([string, amount])),
 });
 
 type Message = GetType<typeof evidenceCodec>;
--- a/packages/gateway/src/gossip.ts
+++ b/packages/gateway/src/gossip.ts
@@ -1,7 +1,7 @@
 // Gossip between routers in UDP datagrams: liveness, versions of the copied tables, and load reports. In a large fleet
 // representatives exchange sums of their data centres. A lost datagram is superseded by the next one.
 
-import { decodeForeign } from '@catkinwheel/protocol';
+import { amount, decodeForeign, tokenCount, vmAddress, wholeNumber } from '@catkinwheel/protocol';
 import { createSocket, type Socket } from 'node:dgram';
 import {
   probesSilentPeer,
@@ -20,24 +20,14 @@
   type WorkTimer,
 } from '@catkinwheel/coordination/routing';
 import type { Clock, Milliseconds } from '@catkinwheel/state';
-import {
-  Codec,
-  array,
-  boolean,
-  nullable,
-  number,
-  optional,
-  string,
-  tuple,
-  type GetType,
-} from 'purify-ts';
+import { Codec, array, boolean, nullable, optional, string, tuple, type GetType } from 'purify-ts';
 import { decodeEvidence, encodeEvidence, evidenceCodec } from './crashEvidence.js';
 import { tableNames, type StoreReplica } from './storeReplica.js';
 import type { Faults } from './faults.js';
 import type { Log } from './log.js';
 
 /** Server, prompt tokens still to prefill, requests, KV cache tokens. */
-const loadCodec = tuple([string, number, number, number]);
+const loadCodec = tuple([string, amount, wholeNumber, amount]);
 
 /**
  * Name, IP address, whether it is stopping, time since its last contact with the store (null if its calls fail) and since
@@ -45,42 +35,42 @@
  */
 const memberCodec = tuple([
   string,
-  string,
+  vmAddress,
   boolean,
-  nullable(number),
-  number,
-  number,
-  number,
+  nullable(amount),
+  amount,
+  amount,
+  amount,
   boolean,
 ]);
 
 const messageCodec = Codec.interface({
   router: string,
-  ip: string,
+  ip: vmAddress,
   dataCentre: string,
   isLeaving: boolean,
   /** Cores of the VM, and cores that the router uses. */
-  capacity: number,
-  used: number,
+  capacity: amount,
+  used: amount,
   /** In the sum of a data centre: its other routers. Null in the message of a single router. */
   members: nullable(array(memberCodec)),
   /** Time in ms since the sender's last contact with the store; null while its calls fail. */
-  storeAge: nullable(number),
+  storeAge: nullable(amount),
   /** Versions of the sender's copies of the tables. */
-  operators: number,
-  servers: number,
+  operators: wholeNumber,
+  servers: wholeNumber,
   /** Requests in flight at each server. */
   loads: array(loadCodec),
   /** Tokens that each team received recently. */
-  teams: array(tuple([string, number])),
+  teams: array(tuple([string, amount])),
   /** Requests queued for each server. */
   waiting: array(loadCodec),
   /** By server: the fewest tokens received by any team with requests queued for it. */
-  least: array(tuple([string, number])),
+  least: array(tuple([string, amount])),
   /** Server, key and tokens of prompt parts that the server has cached since the last message. */
-  parts: array(tuple([string, string, number])),
+  parts: array(tuple([string, string, tokenCount])),
   /** Servers that have said that they are leaving, with their start times; routers of earlier versions send none. */
-  leaving: optional(array(tuple([string, nullable(number)]))),
+  leaving: optional(array(tuple([string, nullable(wholeNumber)]))),
   /** Missing if there is nothing to tell. */
   evidence: optional(evidenceCodec),
 });
--- a/packages/gateway/src/peerState.ts
+++ b/packages/gateway/src/peerState.ts
@@ -3,8 +3,15 @@
 
 import type { Clock, Milliseconds } from '@catkinwheel/state';
 import type { Hono } from 'hono';
-import { decodeForeign, readJson } from '@catkinwheel/protocol';
-import { Codec, array, number, optional, string, tuple, type GetType } from 'purify-ts';
+import {
+  amount,
+  decodeForeign,
+  readJson,
+  tokenCount,
+  vmAddress,
+  wholeNumber,
+} from '@catkinwheel/protocol';
+import { Codec, array, optional, string, tuple, type GetType } from 'purify-ts';
 import type { Dispatcher, Members } from '@catkinwheel/coordination/routing';
 import { Agent } from 'undici';
 import { tableNames, type Changes, type StoreReplica } from './storeReplica.js';
@@ -19,17 +26,17 @@
 const minRequestInterval: Milliseconds = 30;
 
 const changesCodec = Codec.interface({
-  version: number,
-  rows: array(Codec.interface({ key: string, version: number, value: optional(string) })),
+  version: wholeNumber,
+  rows: array(Codec.interface({ key: string, version: wholeNumber, value: optional(string) })),
 });
 
 const stateCodec = Codec.interface({
   operators: changesCodec,
   servers: changesCodec,
   /** Names, IP addresses and cores of registered routers. */
-  routers: array(tuple([string, string, number])),
+  routers: array(tuple([string, vmAddress, amount])),
   /** Servers, the prompt parts that they cache, and the parts' tokens; empty unless requested. */
-  parts: array(tuple([string, string, number])),
+  parts: array(tuple([string, string, tokenCount])),
 });
 
 /** Serves this router's tables to other routers, and fetches theirs. */
--- a/packages/gateway/src/registration.ts
+++ b/packages/gateway/src/registration.ts
@@ -4,12 +4,12 @@
 import type { Members } from '@catkinwheel/coordination/routing';
 import type { StoreClient } from '@catkinwheel/platform';
 import type { Clock, Milliseconds } from '@catkinwheel/state';
-import { decodeForeign } from '@catkinwheel/protocol';
-import { Codec, number, string } from 'purify-ts';
+import { amount, decodeForeign, vmAddress } from '@catkinwheel/protocol';
+import { Codec } from 'purify-ts';
 import type { Log } from './log.js';
 
 const table = 'routers';
-const registrationCodec = Codec.interface({ ip: string, capacity: number });
+const registrationCodec = Codec.interface({ ip: vmAddress, capacity: amount });
 const callTimeout: Milliseconds = 1_000;
 /** Mean pause between attempts while the store does not answer. */
 const retryPause: Milliseconds = 500;
--- a/packages/gateway/src/requestHandler.ts
+++ b/packages/gateway/src/requestHandler.ts
@@ -65,6 +65,7 @@
 
 /** Statuses of this router's own responses. Only `refused` promises that the request has not run. */
 const statuses = {
+  invalidHeader: 400,
   unknownKey: 401,
   unknownRoute: 404,
   tooLarge: 413,
@@ -226,6 +227,10 @@
       this.#refuse('behind', behindRetryAfter);
       return;
     }
+    if (this.#head.problem !== undefined) {
+      this.#reject(statuses.invalidHeader, this.#head.problem);
+      return;
+    }
     const path = this.request.url ?? '/';
     const route = table.route(hostOf(this.request), path);
     if (route === undefined) {
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -4,6 +4,7 @@
 export * from './catalogueCodec.js';
 export * from './decode.js';
 export * from './exchange.js';
+export * from './foreignValues.js';
 export * from './messageCodec.js';
 export * from './adminApi.js';
 export * from './adminApiCodec.js';
