soak: servers start again under their ids at other addresses

At the end, with nothing else wrong, all servers do so, and each router must serve a request of each service 3 s later.

--- a/packages/standins/src/stack/soak.ts
+++ b/packages/standins/src/stack/soak.ts
@@ -6,7 +6,7 @@
 import { oneOf, randomFrom, type Random } from '../random.js';
 import { Relay } from '../relay.js';
 import { call } from './caller.js';
-import { desiredStateOf, freePorts, names } from './fleet.js';
+import { desiredStateOf, freePorts, modelFields, names } from './fleet.js';
 import { RouterProcess } from './routerProcess.js';
 import { StackServer, streamLength } from './server.js';
 import { SoakCallers } from './soakCallers.js';
@@ -16,6 +16,11 @@
 
 /** Time in which a new desired state has to be in force at undisturbed routers, and the machine's own delays. */
 const inForceWithin: Milliseconds = 3_500;
+/** Time in which a server must be sent requests after it has registered, and the machine's own delays. */
+const reachedWithin: Milliseconds = 3_000;
+/** Time between a server's own write and a late one of its former instance, and until its next one. */
+const lateWrite: Milliseconds = 100;
+const nextWrite: Milliseconds = 1_000;
 /** Time in which a leaving server must get no new request any more, and the machine's own delays. */
 const drainedWithin: Milliseconds = 3_000;
 /** A router counts as undisturbed after this time without a fault on it, its store or its machine. */
@@ -31,7 +36,7 @@
 /** Time between two faults, and duration of a fault, at random within these. */
 const quiet = { least: 100, most: 900 } as const;
 const lasting = { least: 200, most: 3_000 } as const;
-/** Time in which a router is started again after it ended. */
+/** Time in which a router, or a server, is started again after it ended. */
 const restart = { least: 50, most: 1_500 } as const;
 
 export interface SoakOptions {
@@ -101,6 +106,7 @@
       await soak.#heal();
       await soak.#calmChanges();
       await soak.#calmSilence();
+      await soak.#calmRestarts();
       await soak.#calmStops();
       soak.#ended.abort();
       await Promise.all(callers);
@@ -143,13 +149,16 @@
     const server = await StackServer.start(`server-${this.#lastServer}`);
     const relay = await Relay.create();
     relay.point(server.address);
-    const backend: Backend = { server, relay, service, isLeaving: false };
+    const backend: Backend = { server, relay, born: 1, service, isLeaving: false };
     this.#backends.push(backend);
     this.#register(backend, {});
   }
 
-  #register({ server, relay, service }: Backend, changes: Readonly<Record<string, unknown>>): void {
-    const entry = { address: relay.address, ...changes };
+  #register(
+    { server, relay, born, service }: Backend,
+    changes: Readonly<Record<string, unknown>>,
+  ): void {
+    const entry = { address: relay.address, born, ...changes };
     this.store.put('servers', server.id, server.entry(service, entry));
   }
 
@@ -176,6 +185,7 @@
     const again = this.#between(restart);
     const series = SpoiledSeries.draw(this.#random);
     const rule = oneOf(this.#random, ['cut', 'drop'] as const);
+    const hasLateWrite = oneOf(this.#random, [true, false]);
     const mode = oneOf(this.#random, ['busy', 'silent', 'losesAnswers'] as const);
     const { router } = node;
     const server = backend.server.id;
@@ -203,6 +213,7 @@
       [answers, spoil],
       [answers, spoil],
       [server, (lasts) => this.#cutServer(backend, rule, lasts)],
+      [server, () => this.#restartElsewhere(backend, again, hasLateWrite)],
       [server, () => this.#replace(backend)],
     ] satisfies readonly (readonly [string, (lasts: Milliseconds) => Promise<void>])[]);
   }
@@ -295,6 +306,30 @@
     relay.rule('pass');
   }
 
+  /** The server crashes, and starts again under its id at another address. */
+  async #restartElsewhere(
+    backend: Backend,
+    again: Milliseconds,
+    hasLateWrite: boolean,
+  ): Promise<void> {
+    const { server } = backend;
+    const former = { address: backend.relay.address, born: backend.born };
+    this.#tell(`${server.id} crashes and starts elsewhere after ${Math.round(again)} ms`);
+    backend.relay.close();
+    await server.close();
+    await pause(again);
+    await server.startElsewhere();
+    backend.relay = await Relay.create();
+    backend.relay.point(server.address);
+    backend.born += 1;
+    this.#register(backend, {});
+    if (!hasLateWrite) return;
+    await pause(lateWrite);
+    this.#register(backend, former);
+    await pause(nextWrite);
+    this.#register(backend, { sequence: 2 });
+  }
+
   /** Another server takes the place of one that leaves as planned. */
   async #replace(backend: Backend): Promise<void> {
     const { server, service, relay } = backend;
@@ -342,6 +377,22 @@
     await Promise.all([...changes, this.#changeState()]);
   }
 
+  /** With nothing else wrong all servers start again at other addresses; each router must reach those of each service. */
+  async #calmRestarts(): Promise<void> {
+    const staying = this.#backends.filter(({ isLeaving }) => !isLeaving);
+    await Promise.all(staying.map((backend) => this.#restartElsewhere(backend, 0, false)));
+    await pause(reachedWithin);
+    for (const { router } of this.#nodes)
+      for (const path of ['/reads/', '/letters/']) {
+        const id = `restart-${router.name}${path}`;
+        const fields = path === '/letters/' ? { headers: modelFields } : {};
+        const from = { address: router.callers, host: names.host, key: names.key };
+        const { status } = await call({ ...from, ...fields, path: `${path}1`, id });
+        if (status !== 200)
+          this.#checks.violate(`${id} got ${status}, though all servers have started again`);
+      }
+  }
+
   /**
    * With nothing else wrong all servers fall silent in each stream and go on, beside a change of the desired state; no request may
    * be lost by it.
--- a/packages/standins/src/stack/soakChecks.ts
+++ b/packages/standins/src/stack/soakChecks.ts
@@ -16,7 +16,10 @@
 /** A server of the soak, behind a relay that can cut it off. */
 export interface Backend {
   readonly server: StackServer;
-  readonly relay: Relay;
+  /** Replaced when the server starts again at another address. */
+  relay: Relay;
+  /** Start time in its entry. */
+  born: number;
   readonly service: string;
   /** Whether its entry says that it leaves. */
   isLeaving: boolean;
