frontend: only a response that is the only one due closes its connection

What callers saw: of two requests sent together, the first response closed the connection during a planned stop, and the second request, which may not be repeated, ran without an answer (LOST). The same while a router handed connections over. Cause: `connection: close` was set on each response as soon as the stop was known, whatever had been read behind it. Evidence: pipelined.test.ts fails before (the first of the two responses bears `connection: close`). CallerConnection keeps the responses that are due on a connection. `connection: close` is decided when a head is sent, and only if no other response is due; a response that waits behind another may not close either, since requests can be read behind it. A request that is read after a caller was told of the close is not passed on (RFC 9112, 9.6) and logged. No run with a handover in a fleet.

--- a/packages/gateway/src/callerResponse.ts
+++ b/packages/gateway/src/callerResponse.ts
@@ -13,11 +13,20 @@
     private readonly response: ServerResponse,
     private readonly id: string,
     private readonly abortSignal: AbortSignal,
+    private readonly announceClose: () => boolean,
   ) {}
 
-  /** `id` is the request id, empty if the request has none; `abortSignal` aborts when nothing more is to be forwarded. */
-  static create(response: ServerResponse, id: string, abortSignal: AbortSignal): CallerResponse {
-    return new CallerResponse(response, id, abortSignal);
+  /**
+   * `id` is the request id, empty if the request has none; `abortSignal` aborts when nothing more is to be forwarded;
+   * `announceClose` is asked once, when the head is sent, whether the response closes its connection.
+   */
+  static create(
+    response: ServerResponse,
+    id: string,
+    abortSignal: AbortSignal,
+    announceClose: () => boolean,
+  ): CallerResponse {
+    return new CallerResponse(response, id, abortSignal, announceClose);
   }
 
   /** Whether the head was sent; after that the response can only be completed or aborted. */
@@ -45,6 +54,7 @@
     if (this.isOpen) return;
     const length = head.headers['content-length'];
     this.#declaredLength = length === undefined ? undefined : Number(length);
+    if (this.announceClose()) this.response.setHeader('connection', 'close');
     this.response.writeHead(head.status, head.headers as Record<string, string | string[]>);
   }
 
@@ -79,7 +89,7 @@
     else this.response.destroy();
   }
 
-  /** Sends an error response of this router's own; `closes` closes the connection after it. */
+  /** Sends an error response of this router's own; `closes` closes the connection after it in any case. */
   reply(
     status: number,
     reason: string,
@@ -88,7 +98,7 @@
   ): void {
     if (this.response.destroyed) return;
     const body = JSON.stringify({ error: reason });
-    if (closes) this.response.setHeader('connection', 'close');
+    if (closes || this.announceClose()) this.response.setHeader('connection', 'close');
     this.response.writeHead(status, {
       'content-type': 'application/json',
       'content-length': Buffer.byteLength(body),
--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -12,6 +12,7 @@
 } from '@catkinwheel/coordination/routing';
 import type { Milliseconds } from '@catkinwheel/state';
 import { AcceptProbe } from './acceptProbe.js';
+import { CallerConnection } from './callerConnection.js';
 import { callerLeft } from './callerLeft.js';
 import { RequestHandler, type ConnectionInfo, type RequestDependencies } from './requestHandler.js';
 import type { Endpoint, Tunnels } from './tunnels.js';
@@ -43,8 +44,7 @@
   readonly #acceptQueue: AcceptQueue;
   /** Wait in the accept queue of connections that waited too long, until their first request. */
   readonly #longWaits = new WeakMap<Socket, Milliseconds>();
-  /** Numbers and request counts of open connections, for the log. */
-  readonly #connectionInfos = new WeakMap<Socket, ConnectionInfo>();
+  readonly #connections = new WeakMap<Socket, CallerConnection>();
   #connectionCount = 0;
   #underWay = 0;
   #lastFinishedAt: Milliseconds;
@@ -127,7 +127,7 @@
     return true;
   }
 
-  /** Whether the response closes the connection, so that the caller opens a new one for its next request. */
+  /** Whether responses close the connection, so that the caller opens a new one for its next request. */
   #closesConnection(socket: Socket): boolean {
     const { stops } = this.dependencies;
     if (stops.closesConnections(this.#viaOf(socket))) return true;
@@ -141,12 +141,25 @@
 
   #serve(request: IncomingMessage, response: ServerResponse): void {
     const { dependencies } = this;
-    if (this.#closesConnection(request.socket)) response.setHeader('connection', 'close');
-    const info = this.#countRequest(request.socket);
+    const { socket } = request;
+    const connection = this.#connectionOf(socket);
+    if (connection.isCloseAnnounced) {
+      // The connection ends with the response in progress, so a server's response could not be delivered.
+      dependencies.log.write('request after close', { connection: connection.number });
+      request.resume();
+      return;
+    }
+    connection.add(response);
+    const info = {
+      number: connection.number,
+      requests: connection.requests,
+      via: connection.via,
+      announceClose: () => this.#closesConnection(socket) && connection.announceClose(),
+    };
     const handler = RequestHandler.create(dependencies, request, response, info);
-    const wait = this.#longWaits.get(request.socket);
+    const wait = this.#longWaits.get(socket);
     if (wait !== undefined) {
-      this.#longWaits.delete(request.socket);
+      this.#longWaits.delete(socket);
       handler.refuseAfterAcceptWait(wait);
       return;
     }
@@ -169,13 +182,13 @@
     await handler.run();
   }
 
-  #countRequest(socket: Socket): ConnectionInfo {
-    const known = this.#connectionInfos.get(socket);
-    if (known === undefined) this.#connectionCount += 1;
-    const { number = this.#connectionCount, requests = 0 } = known ?? {};
-    const info = { number, requests: requests + 1, via: this.#viaOf(socket) };
-    this.#connectionInfos.set(socket, info);
-    return info;
+  #connectionOf(socket: Socket): CallerConnection {
+    const known = this.#connections.get(socket);
+    if (known !== undefined) return known;
+    this.#connectionCount += 1;
+    const connection = CallerConnection.create(this.#connectionCount, this.#viaOf(socket));
+    this.#connections.set(socket, connection);
+    return connection;
   }
 
   /** Stops listening and closes idle connections. */
--- a/packages/gateway/src/requestHandler.ts
+++ b/packages/gateway/src/requestHandler.ts
@@ -90,7 +90,7 @@
   readonly random: () => number;
 }
 
-/** The connection of a request and the request's place on it, for the log. */
+/** The connection of a request and the request's place on it. */
 export interface ConnectionInfo {
   /** Number of the connection, counted from the start of this router. */
   readonly number: number;
@@ -98,6 +98,8 @@
   readonly requests: number;
   /** IP address of the router that handed the connection over; undefined if the caller connected to this one. */
   readonly via: string | undefined;
+  /** Whether the response, whose head is about to be sent, tells the caller that it closes the connection. */
+  readonly announceClose: () => boolean;
 }
 
 /** Whether the request may have run, over all attempts. */
@@ -152,6 +154,7 @@
       response,
       this.#head.id,
       this.#abortController.signal,
+      connection.announceClose,
     );
   }
 
@@ -249,14 +252,13 @@
   }
 
   /**
-   * This router, or the one that holds the connection, may have to stop: the response closes the connection and is complete, or
-   * replaced by an error, before the connection ends. A request that still waits for a server is judged anew.
+   * This router, or the one that holds the connection, may have to stop: the response is complete, or replaced by an error, before
+   * the connection ends. A request that still waits for a server is judged anew.
    */
   #onPlannedStop(): void {
     const { clock, stops } = this.dependencies;
     const endsAt = stops.endOf(this.connection.via);
     if (endsAt === Infinity) return;
-    if (!this.response.headersSent) this.response.setHeader('connection', 'close');
     clearTimeout(this.#stopTimer);
     this.#stopTimer = setTimeout(() => {
       this.#abortController.abort('stopping');
@@ -605,10 +607,7 @@
 
   #reply(status: number, reason: string, headers: Readonly<Record<string, string>> = {}): void {
     // The rest of a body that is too large is not read, so its connection cannot be reused.
-    const closes =
-      this.dependencies.stops.closesConnections(this.connection.via) ||
-      status === statuses.tooLarge;
-    this.#callerResponse.reply(status, reason, headers, closes);
+    this.#callerResponse.reply(status, reason, headers, status === statuses.tooLarge);
   }
 
   /** Aborts at the deadline, on silence, and when the caller has left unless the request is non-idempotent. */
--- a/packages/standins/src/stack/callerConnection.ts
+++ b/packages/standins/src/stack/callerConnection.ts
@@ -92,10 +92,28 @@
 
   /** Sends a request and reads its answer, which begins with the first byte that was not read before. */
   async ask(request: PlainRequest, within: Milliseconds = 5_000): Promise<Answer> {
-    const { method, path, headers, body = '' } = request;
-    const fields = { ...headers, ...(body === '' ? {} : { 'content-length': `${body.length}` }) };
-    const lines = Object.entries(fields).map(([name, value]) => `${name}: ${value}\r\n`);
-    this.socket.write(`${method} ${path} HTTP/1.1\r\n${lines.join('')}\r\n${body}`);
+    this.write(bytesOf(request));
+    return this.#read(request.method, within);
+  }
+
+  /** Sends requests without waiting for answers, then `rest` as it is. Reads the answers in their order. */
+  async pipeline(
+    requests: readonly PlainRequest[],
+    rest = '',
+    within: Milliseconds = 5_000,
+  ): Promise<readonly Answer[]> {
+    this.write(requests.map(bytesOf).join('') + rest);
+    const answers: Answer[] = [];
+    for (const { method } of requests) answers.push(await this.#read(method, within));
+    return answers;
+  }
+
+  /** Sends bytes as they are. */
+  write(bytes: string): void {
+    this.socket.write(bytes);
+  }
+
+  async #read(method: string, within: Milliseconds): Promise<Answer> {
     const timeout = AbortSignal.timeout(within);
     for (;;) {
       const parsed = this.#parse(method);
@@ -134,6 +152,12 @@
   }
 }
 
+function bytesOf({ method, path, headers, body = '' }: PlainRequest): string {
+  const fields = { ...headers, ...(body === '' ? {} : { 'content-length': `${body.length}` }) };
+  const lines = Object.entries(fields).map(([name, value]) => `${name}: ${value}\r\n`);
+  return `${method} ${path} HTTP/1.1\r\n${lines.join('')}\r\n${body}`;
+}
+
 function headOf(text: string, method: string): Head {
   const [statusLine = '', ...lines] = text.split('\r\n');
   const status = Number(statusLine.split(' ')[1]);
--- /dev/null
+++ b/packages/standins/src/stack/pipelined.test.ts
@@ -0,0 +1,79 @@
+// Callers that send a request before the response to the one before it has come.
+
+import assert from 'node:assert/strict';
+import { test, type TestContext } from 'node:test';
+import { setTimeout as pause } from 'node:timers/promises';
+import type { Milliseconds } from '@catkinwheel/state';
+import { CallerConnection, type Answer, type PlainRequest } from './callerConnection.js';
+import { StackFleet, names } from './fleet.js';
+
+/** Time that a response takes, longer than the pauses between what happens meanwhile. */
+const workTime: Milliseconds = 600;
+const pairs = 4;
+
+async function startFleet(t: TestContext): Promise<StackFleet> {
+  const fleet = await StackFleet.start();
+  t.after(() => fleet.close());
+  await fleet.addRouter();
+  await fleet.ready();
+  for (const server of fleet.desks) server.answerPause = workTime;
+  return fleet;
+}
+
+async function connectTo(t: TestContext, fleet: StackFleet): Promise<CallerConnection> {
+  const connection = await CallerConnection.open(fleet.routers[0]?.settings.listen.callers ?? '');
+  t.after(() => {
+    connection.close();
+  });
+  return connection;
+}
+
+/** A request that may run again, and one that may not. */
+function pairOf(name: string): readonly PlainRequest[] {
+  const headers = { host: names.host, 'deadline-ms': '3000' };
+  const authorization = `Bearer ${names.key}`;
+  return [
+    {
+      method: 'GET',
+      path: '/reads/1',
+      headers: { ...headers, authorization, 'request-id': `${name}-read` },
+    },
+    {
+      method: 'POST',
+      path: '/charges/1',
+      headers: { ...headers, 'request-id': `${name}-charge` },
+      body: '{}',
+    },
+  ];
+}
+
+function statusOf(answer: Answer | undefined): string {
+  return answer?.kind === 'whole'
+    ? `${answer.status} ${answer.headers.connection ?? ''}`
+    : (answer?.kind ?? '');
+}
+
+// Guards against LOST: the response to the first request closes the connection under the second, which has run.
+test('a planned stop answers both of two requests that were sent together', async (t) => {
+  const fleet = await startFleet(t);
+  const connections = await Promise.all(
+    Array.from({ length: 2 * pairs }, () => connectTo(t, fleet)),
+  );
+  const ask = (from: number): Promise<readonly Answer[]>[] =>
+    connections
+      .slice(from, from + pairs)
+      .map((connection, index) => connection.pipeline(pairOf(`${from + index}`)));
+  const before = ask(0);
+  await pause(workTime / 4);
+  void fleet.routers[0]?.gateway.stop();
+  await pause(workTime / 4);
+  const answers = await Promise.all([...before, ...ask(pairs)]);
+  for (const [read, charge] of answers) {
+    assert.match(statusOf(read), /^200 (keep-alive)?$/);
+    assert.match(statusOf(charge), /^200 /);
+  }
+  // A response that is the only one due closes the connection.
+  const [single] = pairOf('single');
+  assert.ok(single !== undefined && connections[0] !== undefined);
+  assert.equal(statusOf(await connections[0].ask(single)), '200 close');
+});
