frontend: bytes that cannot be read leave the responses to requests before them

What callers saw: a second head that stopped midway got 408 in place of the response to the first request, which ran (REFUSED). Bytes that cannot be parsed behind a whole request got 400 in its place, or destroyed the connection under it (LOST). Cause: Node's default handler of `clientError` writes its own response, or destroys the socket, whatever response is due. The frontend handles the event: if a request that was read whole has no complete response, the connection closes behind the last such response. Otherwise the same 400, 408, 413 or 431 as before is sent and the socket is destroyed. The new line `caller connection failed` has the cause and the ids of the requests in flight; resets of idle connections are not logged.

--- a/packages/gateway/src/callerConnection.test.ts
+++ b/packages/gateway/src/callerConnection.test.ts
@@ -14,9 +14,9 @@
 ): Promise<{ caller: Socket; connection: () => CallerConnection; due: ServerResponse[] }> {
   const due: ServerResponse[] = [];
   let connection: CallerConnection | undefined;
-  const server = createServer((_, response) => {
-    connection ??= CallerConnection.create(1, undefined);
-    connection.add(response);
+  const server = createServer(({ socket }, response) => {
+    connection ??= CallerConnection.create(socket, 1, undefined);
+    connection.add('a', response);
     due.push(response);
   });
   server.listen(0, '127.0.0.1');
--- a/packages/gateway/src/callerConnection.ts
+++ b/packages/gateway/src/callerConnection.ts
@@ -1,24 +1,27 @@
-// The requests on one connection of a caller. A caller may send further requests while a response is due, so the connection is
-// closed only when no request that was read is left without its response.
+// The requests on one connection of a caller. A caller may send further requests, or bytes that are none, while a response is
+// due, so the connection is closed only when no request that was read whole is left without its response.
 
 import type { ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
 
 /** One connection of a caller. */
 export class CallerConnection {
-  /** Responses that are not complete. */
-  readonly #due = new Set<ServerResponse>();
+  /** Ids of the requests whose responses are not complete. */
+  readonly #due = new Map<ServerResponse, string>();
   #requests = 0;
   #isCloseAnnounced = false;
+  #isBroken = false;
 
   private constructor(
+    private readonly socket: Socket,
     /** Number of the connection, counted from the start of this router. */
     readonly number: number,
     /** IP address of the router that handed the connection over; undefined if the caller connected to this one. */
     readonly via: string | undefined,
   ) {}
 
-  static create(number: number, via: string | undefined): CallerConnection {
-    return new CallerConnection(number, via);
+  static create(socket: Socket, number: number, via: string | undefined): CallerConnection {
+    return new CallerConnection(socket, number, via);
   }
 
   /** Requests on the connection so far. */
@@ -31,12 +34,23 @@
     return this.#isCloseAnnounced;
   }
 
+  /** Whether bytes came that cannot be read, so that no further request can. */
+  get isBroken(): boolean {
+    return this.#isBroken;
+  }
+
+  /** Ids of the requests whose responses are not complete, in their order. */
+  get dueIds(): readonly string[] {
+    return [...this.#due.values()];
+  }
+
   /** Adds a request whose head was read. */
-  add(response: ServerResponse): void {
+  add(id: string, response: ServerResponse): void {
     this.#requests += 1;
-    this.#due.add(response);
+    this.#due.set(response, id);
     response.once('finish', () => {
       this.#due.delete(response);
+      if (this.#isBroken && !this.#isAnswerDue) this.socket.destroySoon();
     });
   }
 
@@ -49,4 +63,23 @@
     this.#isCloseAnnounced = true;
     return true;
   }
+
+  /**
+   * Handles bytes that cannot be read, a head that does not come in time, or the end of the socket. Closes the connection once the
+   * requests that were read whole have their responses. If there is none, sends `refusal`, unless a response has begun, and
+   * destroys it at once.
+   */
+  break(error: Error, refusal: string): void {
+    const { socket } = this;
+    this.#isBroken = true;
+    if (this.#isAnswerDue && socket.writable) return;
+    const hasBegun = [...this.#due.keys()].some(({ headersSent }) => headersSent);
+    if (socket.writable && !hasBegun) socket.write(refusal);
+    socket.destroy(error);
+  }
+
+  /** Whether a request that was read whole has no complete response. */
+  get #isAnswerDue(): boolean {
+    return [...this.#due.keys()].some(({ req }) => req.complete);
+  }
 }
--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -16,6 +16,7 @@
 import { callerLeft } from './callerLeft.js';
 import { RequestHandler, type ConnectionInfo, type RequestDependencies } from './requestHandler.js';
 import type { Endpoint, Tunnels } from './tunnels.js';
+import { unreadableResponse } from './unreadableRequest.js';
 
 /** Interval at which connections are checked for header timeouts. */
 const checkInterval: Milliseconds = 1_000;
@@ -65,6 +66,9 @@
         this.#serve(request, response);
       },
     );
+    this.#server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
+      this.#onClientError(error, socket);
+    });
     this.#acceptQueue = AcceptQueue.create(dependencies.clock, acceptBacklog(capacity));
     // Each request in flight listens for the close; a caller may pipeline many.
     this.#server.on('connection', (socket) => socket.setMaxListeners(0));
@@ -149,14 +153,15 @@
       request.resume();
       return;
     }
-    connection.add(response);
     const info = {
       number: connection.number,
-      requests: connection.requests,
+      requests: connection.requests + 1,
       via: connection.via,
-      announceClose: () => this.#closesConnection(socket) && connection.announceClose(),
+      announceClose: () =>
+        (connection.isBroken || this.#closesConnection(socket)) && connection.announceClose(),
     };
     const handler = RequestHandler.create(dependencies, request, response, info);
+    connection.add(handler.id, response);
     const wait = this.#longWaits.get(socket);
     if (wait !== undefined) {
       this.#longWaits.delete(socket);
@@ -182,11 +187,30 @@
     await handler.run();
   }
 
+  /** Bytes on the connection cannot be read, a head did not come in time, or the socket failed. */
+  #onClientError(error: NodeJS.ErrnoException, socket: Socket): void {
+    const connection = this.#connectionOf(socket);
+    // The event is repeated for each further packet, and for a late head at each check.
+    if (!connection.isBroken) {
+      const { dueIds, number } = connection;
+      // Callers may reset connections that they no longer use.
+      const isSocketError = error.syscall !== undefined;
+      if (!isSocketError || dueIds.length > 0)
+        this.dependencies.log.write('caller connection failed', {
+          connection: number,
+          detail: error.code ?? error.message,
+          requests: dueIds,
+        });
+      connection.break(error, unreadableResponse(error));
+    }
+    if (!socket.writable) socket.destroy(error);
+  }
+
   #connectionOf(socket: Socket): CallerConnection {
     const known = this.#connections.get(socket);
     if (known !== undefined) return known;
     this.#connectionCount += 1;
-    const connection = CallerConnection.create(this.#connectionCount, this.#viaOf(socket));
+    const connection = CallerConnection.create(socket, this.#connectionCount, this.#viaOf(socket));
     this.#connections.set(socket, connection);
     return connection;
   }
--- a/packages/gateway/src/requestHandler.ts
+++ b/packages/gateway/src/requestHandler.ts
@@ -167,6 +167,11 @@
     return new RequestHandler(dependencies, request, response, connection);
   }
 
+  /** The caller's id of the request, empty if it has none. */
+  get id(): string {
+    return this.#head.id;
+  }
+
   /** Refuses the request without reading its body, since its connection waited too long to be accepted. */
   refuseAfterAcceptWait(wait: Milliseconds): void {
     this.#acceptWait = wait;
--- a/packages/standins/src/stack/pipelined.test.ts
+++ b/packages/standins/src/stack/pipelined.test.ts
@@ -5,7 +5,7 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import type { Milliseconds } from '@catkinwheel/state';
 import { CallerConnection, type Answer, type PlainRequest } from './callerConnection.js';
-import { StackFleet, names } from './fleet.js';
+import { StackFleet, desiredStateOf, names, until } from './fleet.js';
 
 /** Time that a response takes, longer than the pauses between what happens meanwhile. */
 const workTime: Milliseconds = 600;
@@ -77,3 +77,43 @@
   assert.ok(single !== undefined && connections[0] !== undefined);
   assert.equal(statusOf(await connections[0].ask(single)), '200 close');
 });
+
+/** Longer than the header timeout and the interval of its checks. */
+const longWorkTime: Milliseconds = 1_450;
+const headerTimeoutMs: Milliseconds = 300;
+
+const unreadable = [
+  { name: 'a head that stops midway', bytes: 'GET /reads/1 HTTP/1.1\r\nhost: ', status: 408 },
+  { name: 'bytes that are no request', bytes: 'no request\r\n\r\n', status: 400 },
+  {
+    name: 'a head that is too large',
+    bytes: `GET / HTTP/1.1\r\nhost: a\r\nx: ${'x'.repeat(20_000)}\r\n\r\n`,
+    status: 431,
+  },
+];
+
+// Guards against REFUSED and LOST: a response of the router, or the end of the connection, in place of that of a request which runs.
+test('bytes that cannot be read leave the responses to whole requests before them', async (t) => {
+  const fleet = await startFleet(t);
+  const limits = { idleTimeoutMs: 5_000, headerTimeoutMs };
+  fleet.store.put('op', 'config', desiredStateOf(2, { limits }));
+  await pause(workTime);
+  for (const server of fleet.desks) server.answerPause = longWorkTime;
+  await Promise.all(
+    unreadable.flatMap(({ name, bytes, status }) => [
+      (async () => {
+        const connection = await connectTo(t, fleet);
+        const answers = await connection.pipeline(pairOf(name), bytes);
+        for (const answer of answers) assert.match(statusOf(answer), /^200 /, name);
+        await until(() => connection.isClosed);
+        assert.equal(connection.excess, '', name);
+      })(),
+      (async () => {
+        const connection = await connectTo(t, fleet);
+        connection.write(bytes);
+        await until(() => connection.isClosed);
+        assert.match(connection.excess, new RegExp(`^HTTP/1.1 ${status} .*\r\nConnection: close`));
+      })(),
+    ]),
+  );
+});
