log: a reader that is gone or stuck neither ends nor delays a process

What callers saw: when the reader of standard output closed, the next log line ended the router with code 1 and all its requests with it; in catkinwheeld the same for standard error. Cause: a failed write emits `error` on the stream, for which there was no listener. Evidence, failing before: plannedStop.test.ts (the first request after the close got no answer) and processes.test.ts (the daemon had ended). LineOutput writes the lines of both programs. It takes the errors of the stream, keeps at most 1 MiB for a slow reader and counts what is lost: `catkinwheel_log_lines_lost` with the lines above the rate limit, and the gauge `log.linesLost` of catkinwheeld.

--- a/packages/catkinwheeld/src/eventLog.ts
+++ b/packages/catkinwheeld/src/eventLog.ts
@@ -1,5 +1,6 @@
 // Writes the router's log. Only changes of state are logged; recurring events are counted in metrics.
 
+import { standardError } from '@catkinwheel/transport/lineOutput';
 import { Logger } from 'tslog';
 import type { ILogObj } from 'tslog';
 import type { Settings } from './settings.js';
@@ -25,11 +26,11 @@
         hideLogPositionForProduction: true,
         overwrite: {
           transportJSON: (line) => {
-            process.stderr.write(`${JSON.stringify(line)}\n`);
+            standardError.write(JSON.stringify(line));
           },
           transportFormatted: (meta, args, errors) => {
             const fields = args.map((arg) => (typeof arg === 'string' ? arg : JSON.stringify(arg)));
-            process.stderr.write(`${[meta, ...fields, ...errors].join(' ')}\n`);
+            standardError.write([meta, ...fields, ...errors].join(' '));
           },
         },
       }),
--- a/packages/catkinwheeld/src/main.ts
+++ b/packages/catkinwheeld/src/main.ts
@@ -3,6 +3,7 @@
 
 // Loaded before all other modules, so that signals during their evaluation are kept.
 import { processSignals } from '@catkinwheel/transport/processSignals';
+import { standardError, standardOutput } from '@catkinwheel/transport/lineOutput';
 import { readFileSync } from 'node:fs';
 import sade from 'sade';
 import { Daemon } from './daemon.js';
@@ -32,20 +33,20 @@
 
 function readSettings(file: string | undefined): Settings | undefined {
   if (file === undefined) {
-    process.stderr.write('--settings is missing; expected a YAML file\n');
+    standardError.write('--settings is missing; expected a YAML file');
     return undefined;
   }
   let text: string;
   try {
     text = readFileSync(file, 'utf8');
   } catch (error) {
-    process.stderr.write(`${file}: ${messageOf(error)}\n`);
+    standardError.write(`${file}: ${messageOf(error)}`);
     return undefined;
   }
   return parseSettings(file, text, settingsSchema).match(
     (settings) => settings,
     (errors) => {
-      for (const error of errors) process.stderr.write(`${formatSettingsError(error)}\n`);
+      for (const error of errors) standardError.write(formatSettingsError(error));
       return undefined;
     },
   );
@@ -62,7 +63,7 @@
     eventLog.fault('start failed', { error: messageOf(error) });
     process.exit(exitCodes.failed);
   }
-  process.stdout.write(`${JSON.stringify({ event: 'ready', ...daemon.addresses })}\n`);
+  standardOutput.write(JSON.stringify({ event: 'ready', ...daemon.addresses }));
   handleSignals(daemon, eventLog);
 }
 
--- a/packages/catkinwheeld/src/processUsage.ts
+++ b/packages/catkinwheeld/src/processUsage.ts
@@ -2,6 +2,7 @@
 
 import type { Metrics } from '@catkinwheel/coordination';
 import type { Clock, Milliseconds } from '@catkinwheel/state';
+import { standardError } from '@catkinwheel/transport/lineOutput';
 
 const samplePeriod: Milliseconds = 1_000;
 const bytesPerMegabyte = 1_048_576;
@@ -9,7 +10,8 @@
 
 /**
  * Sets `process.cpu` (CPU time divided by elapsed time over the last second; 1 is one full core, so several threads may
- * exceed 1), `process.cpuMs` (total CPU time in milliseconds) and `process.heapMb` (used heap in MiB) once per second.
+ * exceed 1), `process.cpuMs` (total CPU time in milliseconds), `process.heapMb` (used heap in MiB) and `log.linesLost` (log lines
+ * that were not written since the start) once per second.
  */
 export async function reportUsage(
   clock: Clock,
@@ -26,5 +28,6 @@
     previous = now;
     metrics.gauge('process.cpuMs', (usage.user + usage.system) / microsecondsPerMillisecond);
     metrics.gauge('process.heapMb', process.memoryUsage().heapUsed / bytesPerMegabyte);
+    metrics.gauge('log.linesLost', standardError.lost);
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -347,6 +347,7 @@
       this.#metrics.members.set(this.#members.alive().length);
       this.#metrics.setWork(this.#workTimer.times());
       this.#metrics.late.set(this.#eventLoopLag.late / 1_000);
+      this.#metrics.logLinesLost.set(this.#log.lost);
       return context.text(await this.#metrics.registry.metrics());
     });
     const peers = new Hono();
--- a/packages/gateway/src/log.ts
+++ b/packages/gateway/src/log.ts
@@ -1,6 +1,7 @@
 // Structured log: one JSON object per line on standard output. A flood of lines must not slow requests down, so lines above
 // a rate limit are counted instead of written, and the count is logged as soon as the limit allows it.
 
+import { standardOutput } from '@catkinwheel/transport/lineOutput';
 import type { Clock, Milliseconds } from '@catkinwheel/state';
 import { Logger, type ILogObj, type ILogObjMeta } from 'tslog';
 
@@ -11,8 +12,6 @@
 const linesPerSecond = 100;
 /** Maximum of lines at once. */
 const maxBurst = 300;
-/** Bytes buffered for standard output above which lines are dropped: its reader is stuck. */
-const maxBufferedBytes = 1024 * 1024;
 
 /** The log of one process. Never blocks and never throws. */
 export class Log {
@@ -20,7 +19,9 @@
   readonly #startedAt: Milliseconds;
   #allowance = maxBurst;
   #refilledAt: Milliseconds;
+  /** Lines above the rate limit that no line has told of yet, and all of them. */
   #dropped = 0;
+  #allDropped = 0;
 
   private constructor(
     private readonly clock: Clock,
@@ -41,9 +42,7 @@
           // The wall clock may jump; the time since the start orders the lines of one process.
           const up = Math.round(clock.now() - this.#startedAt);
           const time = new Date().toISOString();
-          process.stdout.write(
-            `${JSON.stringify({ time, router, boot, up, ...(line as object) })}\n`,
-          );
+          standardOutput.write(JSON.stringify({ time, router, boot, up, ...(line as object) }));
         },
       },
     });
@@ -54,10 +53,16 @@
     return new Log(clock, router, boot);
   }
 
+  /** Lines that were not written since the start: above the rate limit, or since the reader was stuck or gone. */
+  get lost(): number {
+    return this.#allDropped + standardOutput.lost;
+  }
+
   /** Writes a line, or counts it as dropped if the rate limit is exceeded. */
   write(event: string, fields: Fields = {}): void {
     if (!this.#mayWrite()) {
       this.#dropped += 1;
+      this.#allDropped += 1;
       return;
     }
     if (this.#dropped > 0 && this.#allowance >= 1) {
@@ -74,7 +79,7 @@
     const refill = ((now - this.#refilledAt) / 1_000) * linesPerSecond;
     this.#allowance = Math.min(maxBurst, this.#allowance + refill);
     this.#refilledAt = now;
-    if (this.#allowance < 1 || process.stdout.writableLength > maxBufferedBytes) return false;
+    if (this.#allowance < 1) return false;
     this.#allowance -= 1;
     return true;
   }
--- a/packages/gateway/src/main.ts
+++ b/packages/gateway/src/main.ts
@@ -2,6 +2,7 @@
 
 // Loaded before all other modules, so that signals during their evaluation are kept.
 import { processSignals } from '@catkinwheel/transport/processSignals';
+import { standardError } from '@catkinwheel/transport/lineOutput';
 import { readFileSync } from 'node:fs';
 import { decodeSettings, settingsVariable, type Settings } from '@catkinwheel/platform';
 import { Gateway } from './gateway.js';
@@ -19,7 +20,7 @@
 
 function fail(code: number, error: unknown): never {
   const detail = error instanceof Error ? error.message : String(error);
-  process.stderr.write(`catkinwheel: ${detail}\n`);
+  standardError.write(`catkinwheel: ${detail}`);
   process.exit(code);
 }
 
@@ -42,7 +43,7 @@
         readSettings();
         gateway.reloaded();
       } catch (error) {
-        process.stderr.write(`catkinwheel: settings not read again: ${String(error)}\n`);
+        standardError.write(`catkinwheel: settings not read again: ${String(error)}`);
       }
     },
   });
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -75,6 +75,11 @@
     help: 'How much later than due this process did its periodic work lately.',
     registers: [this.registry],
   });
+  readonly logLinesLost = new Gauge({
+    name: 'catkinwheel_log_lines_lost',
+    help: 'Log lines that were not written since the start.',
+    registers: [this.registry],
+  });
   readonly #work = new Gauge({
     name: 'catkinwheel_work_seconds',
     help: 'Time of the event loop since the start, by activity; the rest is relaying and input and output.',
--- a/packages/standins/src/child.ts
+++ b/packages/standins/src/child.ts
@@ -112,6 +112,12 @@
     this.#process.kill(name);
   }
 
+  /** Closes the reading ends of its standard output and standard error. */
+  closeOutput(): void {
+    this.#process.stdout?.destroy();
+    this.#process.stderr?.destroy();
+  }
+
   /** Asks the child to end; resolves with its exit code. */
   async stop(): Promise<number | null> {
     this.#process.kill('SIGTERM');
--- a/packages/standins/src/processes.test.ts
+++ b/packages/standins/src/processes.test.ts
@@ -93,6 +93,29 @@
   await assertSound(fleet, load);
 });
 
+// Guards against a log that ends the process when its reader is gone.
+test('a router whose log is read no longer goes on and stops with 0', async (t) => {
+  const { fleet, load } = await underLoad(t);
+  const [first] = fleet.routers;
+  first?.child.closeOutput();
+  // Each signal makes the router write a line.
+  for (let count = 0; count < 3; count += 1) {
+    first?.child.signal('SIGHUP');
+    await clock.sleep(500);
+  }
+  // The gauge is set once per second.
+  await clock.sleep(1_200);
+  const isRunning = first?.child.isRunning;
+  const metrics = first && isRunning ? await fleet.metrics(first) : undefined;
+  const exited = first?.child.stop();
+  await load.finish(finishWithin);
+  assert.equal(isRunning, true);
+  const lost = metrics?.gauges['log.linesLost'] ?? 0;
+  assert.ok(lost >= 3, `${lost} lines lost`);
+  assert.equal(await exited, 0);
+  await assertSound(fleet, load);
+});
+
 test('service goes on while the platform is down for longer than every lease', async (t) => {
   const { fleet, load } = await underLoad(t);
   await fleet.faults({ outage: 'refuse' });
--- a/packages/standins/src/stack/plannedStop.test.ts
+++ b/packages/standins/src/stack/plannedStop.test.ts
@@ -271,6 +271,22 @@
     });
 });
 
+// Guards against a log that ends the process when its reader is gone.
+test('a router whose log is read no longer serves on and stops with 0', async (t) => {
+  const trial = await StopTrial.start(2_500);
+  t.after(() => trial.close());
+  const router = await startRouter(t, trial, '127.0.0.48', 1_000);
+  router.closeOutput();
+  for (let count = 0; count < 3; count += 1) {
+    const { answer } = await trial.send(router.callers);
+    assert.equal(answer.status, 200);
+  }
+  const metrics = await (await fetch(router.metrics)).text();
+  const lost = /^catkinwheel_log_lines_lost (\d+)$/m.exec(metrics)?.[1];
+  assert.ok(Number(lost) >= 3, `${lost ?? 'no'} lines lost`);
+  assert.equal(await router.stop(), 0);
+});
+
 describe('signals that come while a router starts', { concurrency: true }, () => {
   for (const [index, signal] of (['SIGTERM', 'SIGINT', 'SIGHUP'] as const).entries())
     // Guards against a start that a signal ends by its default action.
--- a/packages/standins/src/stack/routerProcess.ts
+++ b/packages/standins/src/stack/routerProcess.ts
@@ -72,6 +72,11 @@
     return `${this.options.ip}:${this.options.ports.callers}`;
   }
 
+  /** URL of the metrics. */
+  get metrics(): string {
+    return `http://${this.options.ip}:${this.options.ports.link + 10}/metrics`;
+  }
+
   /** Tells the runs of the router apart. */
   get run(): number {
     return this.#starts;
@@ -175,6 +180,12 @@
     this.#child?.kill(name);
   }
 
+  /** Closes the reading ends of standard output and standard error. */
+  closeOutput(): void {
+    this.#child?.stdout?.destroy();
+    this.#child?.stderr?.destroy();
+  }
+
   async #isReady(): Promise<boolean> {
     const { ip, ports } = this.options;
     try {
