--- a/packages/coordination/src/routing/connectionHandover.ts
+++ b/packages/coordination/src/routing/connectionHandover.ts
@@ -1,5 +1,5 @@
 // Hands connections over from a router whose VM is short of processor time to routers that have some, which then
-// read and forward the requests on them. The callers of a team may all use one router, whatever the directory
+// forward the first request on them. The callers of a team may all use one router, whatever the directory
 // lists, and ask for several times what its VM can forward while other VMs idle. Fair queueing does not help
 // requests that the router has no time to read.
 
--- /dev/null
+++ b/packages/gateway/src/firstRequest.ts
@@ -0,0 +1,75 @@
+// Reads the head of a connection's first request before the HTTP parser does, so that a saturated router can decide by its
+// route who serves it. Parsing and serving the request costs several times as much.
+
+import type { Socket } from 'node:net';
+import { headerNames } from '@catkinwheel/platform';
+import type { Milliseconds } from '@catkinwheel/state';
+
+/** A head that is not complete by then is left to the HTTP parser, which enforces the header timeout. */
+const readTimeout: Milliseconds = 300;
+/** In bytes, as the HTTP parser. */
+const maxHeadBytes = 16 * 1024;
+const leavingEvents = ['end', 'error', 'close'] as const;
+const headEnd = '\r\n\r\n';
+
+/** The first bytes of a connection. */
+export interface FirstRequest {
+  /** All bytes read so far, which may include a part of the body. */
+  readonly bytes: Buffer;
+  /** Undefined if the head is incomplete, malformed, or expects an interim response. */
+  readonly head: FirstHead | undefined;
+}
+
+/** The fields of a head by which a router decides who serves the request. */
+export interface FirstHead {
+  readonly path: string;
+  readonly headers: { readonly host: string };
+  /** The request id, empty if the request has none. */
+  readonly id: string;
+}
+
+/**
+ * Reads the first request of a connection up to the end of its head, and leaves the connection paused. Resolves with
+ * undefined if the caller leaves meanwhile.
+ */
+export function readFirstRequest(socket: Socket): Promise<FirstRequest | undefined> {
+  return new Promise((resolve) => {
+    let bytes: Buffer = Buffer.alloc(0);
+    const finish = (result: FirstRequest | undefined): void => {
+      clearTimeout(timer);
+      socket.off('data', onData);
+      for (const event of leavingEvents) socket.off(event, onLeft);
+      resolve(result);
+    };
+    const onData = (chunk: Buffer): void => {
+      bytes = bytes.length === 0 ? chunk : Buffer.concat([bytes, chunk]);
+      const end = bytes.indexOf(headEnd);
+      if (end < 0 && bytes.length < maxHeadBytes) return;
+      socket.pause();
+      finish({ bytes, head: end < 0 ? undefined : parseHead(bytes.toString('latin1', 0, end)) });
+    };
+    const onLeft = (): void => {
+      socket.destroy();
+      finish(undefined);
+    };
+    const timer = setTimeout(() => {
+      socket.pause();
+      finish({ bytes, head: undefined });
+    }, readTimeout);
+    socket.on('data', onData);
+    for (const event of leavingEvents) socket.on(event, onLeft);
+  });
+}
+
+function parseHead(text: string): FirstHead | undefined {
+  const path = /^\S+ (\S+) HTTP\/1\.1(?:\r\n|$)/.exec(text)?.[1];
+  const host = fieldOf(text, 'host');
+  if (path === undefined || host === undefined || fieldOf(text, 'expect') !== undefined)
+    return undefined;
+  return { path, headers: { host }, id: fieldOf(text, headerNames.requestId) ?? '' };
+}
+
+/** The value of the field `name`, which contains letters and hyphens only; undefined if it is missing. */
+function fieldOf(text: string, name: string): string | undefined {
+  return new RegExp(`\\r\\n${name}:[ \\t]*([^\\r\\n]*)`, 'i').exec(text)?.[1]?.trim();
+}
--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -9,12 +9,20 @@
   acceptBacklog,
   exceedsWaitLimit,
   type CallerLimits,
+  type Route,
 } from '@catkinwheel/coordination/routing';
 import type { Milliseconds } from '@catkinwheel/state';
 import { AcceptProbe } from './acceptProbe.js';
 import { CallerConnection } from './callerConnection.js';
 import { callerLeft } from './callerLeft.js';
-import { RequestHandler, type ConnectionInfo, type RequestDependencies } from './requestHandler.js';
+import { readFirstRequest } from './firstRequest.js';
+import {
+  RequestHandler,
+  hostOf,
+  isRetriable,
+  type ConnectionInfo,
+  type RequestDependencies,
+} from './requestHandler.js';
 import type { Endpoint, Tunnels } from './tunnels.js';
 import { unreadableResponse } from './unreadableRequest.js';
 
@@ -23,12 +31,15 @@
 /** Largest header block in bytes, whatever limit the desired state sets. */
 const maxHeaderBytes = 16 * 1024;
 
+/** Time after a route's timeout by which another router has to have answered; it measures the timeout from its own receipt. */
+const answerMargin: Milliseconds = 300;
+
 /** Handover of new connections to other routers while this one lacks processor time. */
 export interface Handover {
   readonly tunnels: Tunnels;
   /** Whether new connections are handed over. */
   readonly isActive: () => boolean;
-  /** The router to hand a new connection over to; undefined if this one serves it. */
+  /** The router to hand a new connection over to; undefined if none has processor time to spare. */
   readonly selectTarget: () => Endpoint | undefined;
 }
 
@@ -38,8 +49,6 @@
   readonly #listener: Listener;
   /** Serves all connections, and listens for those that other routers hand over. */
   readonly #server: Server;
-  /** Address at which this router takes handed-over connections; undefined until it listens. */
-  #handoverEndpoint: Endpoint | undefined;
   /** Connections that this router accepted from callers itself. */
   readonly #acceptedHere = new WeakSet<Socket>();
   readonly #acceptQueue: AcceptQueue;
@@ -85,7 +94,6 @@
 
   /** Listens for callers at `callers`, and for handed-over connections at `own`. Rejects if one is in use. */
   async listen(callers: Endpoint, own: Endpoint): Promise<void> {
-    this.#handoverEndpoint = own;
     const backlog = acceptBacklog(this.capacity);
     await listen(this.#server, own, backlog);
     await listen(this.#listener, callers, backlog);
@@ -109,33 +117,66 @@
 
   /** Time since the last request ended; 0 while one is in flight here or may be at another router through a tunnel. */
   idleTime(): Milliseconds {
-    const isBusy = this.#underWay > 0 || this.handover.tunnels.busy > 0;
+    const isBusy = this.#underWay > 0 || !this.handover.tunnels.isEmpty;
     return isBusy ? 0 : this.dependencies.clock.now() - this.#lastFinishedAt;
   }
 
   #accept(socket: Socket, probe: AcceptProbe): void {
     const { wait } = this.#acceptQueue;
     if (!probe.accept(socket)) return;
+    const { isStopping } = this.dependencies.stops;
     if (exceedsWaitLimit(wait)) this.#longWaits.set(socket, wait);
-    else if (this.#handOver(socket)) return;
+    else if (!isStopping && this.handover.isActive()) {
+      void this.#handOverOrServe(socket);
+      return;
+    }
+    this.#serveConnection(socket);
+  }
+
+  #serveConnection(socket: Socket): void {
     this.#acceptedHere.add(socket);
     this.#server.emit('connection', socket);
   }
 
-  /** Hands the connection over to another router if one is to serve it; returns whether it did. */
-  #handOver(socket: Socket): boolean {
-    const { isStopping } = this.dependencies.stops;
-    const target = isStopping ? undefined : this.handover.selectTarget();
-    if (target === undefined || this.#handoverEndpoint === undefined) return false;
-    void this.handover.tunnels.open(socket, target, this.#handoverEndpoint);
-    return true;
+  /** Hands the connection over to another router if its first request may run there; otherwise serves it here. */
+  async #handOverOrServe(socket: Socket): Promise<void> {
+    const { clock, stops } = this.dependencies;
+    const acceptedAt = clock.now();
+    const first = await readFirstRequest(socket);
+    if (first === undefined) return;
+    const { bytes, head } = first;
+    const route = head === undefined ? undefined : this.#routeToHandOver(head, head.path);
+    const target =
+      route === undefined || stops.isStopping ? undefined : this.handover.selectTarget();
+    if (head !== undefined && route !== undefined && target !== undefined) {
+      const answerBy = acceptedAt + route.timeout + answerMargin;
+      const request = { bytes, id: head.id, answerBy };
+      if (await this.handover.tunnels.open(socket, request, target)) return;
+    }
+    if (socket.destroyed) return;
+    socket.unshift(bytes);
+    this.#serveConnection(socket);
+    socket.resume();
+  }
+
+  /**
+   * The route of a request that another router may serve. A request that may run only once depends on one router: its caller
+   * cannot ask again if a second one fails. The same holds for a stream that cannot be resumed.
+   */
+  #routeToHandOver(
+    request: Pick<IncomingMessage, 'headers'>,
+    path: string | undefined,
+  ): Route | undefined {
+    const route = this.dependencies.dispatcher.table?.route(hostOf(request), path ?? '/');
+    return route !== undefined && isRetriable(route) ? route : undefined;
   }
 
   /** Whether responses close the connection, so that the caller opens a new one for its next request. */
-  #closesConnection(socket: Socket): boolean {
+  #closesConnection(request: IncomingMessage): boolean {
     const { stops } = this.dependencies;
-    if (stops.closesConnections(this.#viaOf(socket))) return true;
-    return this.#acceptedHere.has(socket) && this.handover.isActive();
+    const via = this.#viaOf(request.socket);
+    if (via !== undefined || stops.closesConnections(via)) return true;
+    return this.handover.isActive() && this.#routeToHandOver(request, request.url) !== undefined;
   }
 
   /** IP address of the router that handed the connection over; undefined if the caller connected to this one. */
@@ -147,7 +188,9 @@
     const { dependencies } = this;
     const { socket } = request;
     const connection = this.#connectionOf(socket);
-    if (connection.isCloseAnnounced) {
+    // A handed-over connection ends with its first response.
+    const isLast = connection.via !== undefined && connection.requests > 0;
+    if (connection.isCloseAnnounced || isLast) {
       // The connection ends with the response in progress, so a server's response could not be delivered.
       dependencies.log.write('request after close', { connection: connection.number });
       request.resume();
@@ -158,7 +201,7 @@
       requests: connection.requests + 1,
       via: connection.via,
       announceClose: () =>
-        (connection.isBroken || this.#closesConnection(socket)) && connection.announceClose(),
+        (connection.isBroken || this.#closesConnection(request)) && connection.announceClose(),
     };
     const handler = RequestHandler.create(dependencies, request, response, info);
     connection.add(handler.id, response);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -56,7 +56,7 @@
 /** Port of the metrics listener, relative to the first port for traffic between routers. */
 const metricsPortOffset = 10;
 /**
- * A router that sent no heartbeat for this time is frozen, partitioned or gone, and tunnels to it are reset. Callers
+ * A router that sent no heartbeat for this time is frozen, partitioned or gone, and tunnels to it are ended. Callers
  * abandon a silent stream by then.
  */
 const lostRouterTimeout: Milliseconds = 4_000;
@@ -406,13 +406,10 @@
     });
   }
 
-  #resetLostTunnels(): void {
+  #endLostTunnels(): void {
     if (this.#tunnels.isEmpty) return;
-    const alive = new Set([
-      this.settings.ip,
-      ...this.#members.addressesHeardWithin(lostRouterTimeout),
-    ]);
-    this.#tunnels.drop((host) => !alive.has(host));
+    const alive = new Set(this.#members.addressesHeardWithin(lostRouterTimeout));
+    this.#tunnels.endLost((host) => !alive.has(host));
   }
 
   #tunnelEndpoint(ip: string): Endpoint {
@@ -450,7 +447,7 @@
         this.#updateHandover();
       });
       this.#faults.contain('tick', () => {
-        this.#resetLostTunnels();
+        this.#endLostTunnels();
       });
       const hasQueue = this.#dispatcher.waiting > 0;
       await this.#eventLoopLag.sleep(hasQueue ? queueTickInterval : tickInterval, signal);
--- a/packages/gateway/src/requestHandler.ts
+++ b/packages/gateway/src/requestHandler.ts
@@ -720,7 +720,8 @@
   return status >= 200 && status < 300;
 }
 
-function isRetriable(route: Route): boolean {
+/** Whether a request of the route may run more than once. */
+export function isRetriable(route: Route): boolean {
   switch (route.kind) {
     case 'idempotent':
       return true;
@@ -749,6 +750,7 @@
   };
 }
 
-function hostOf(request: IncomingMessage): string {
-  return (request.headers.host ?? '').replace(/:\d+$/, '').toLowerCase();
+/** The host that selects the route. */
+export function hostOf({ headers }: Pick<IncomingMessage, 'headers'>): string {
+  return (headers.host ?? '').replace(/:\d+$/, '').toLowerCase();
 }
--- a/packages/gateway/src/tunnels.ts
+++ b/packages/gateway/src/tunnels.ts
@@ -1,14 +1,16 @@
-// Tunnels for callers' connections that another router serves. Bytes pass through unparsed in both directions, which costs
-// this router only a part of what serving the requests would.
+// Tunnels for callers' connections whose first request another router serves. Bytes pass through unparsed in both directions,
+// which costs this router only a part of what serving the request would. The other router closes a tunnel after one response,
+// so a caller whose tunnel is lost before the first byte of it gets an error response from this router.
 
 import { connect, type Socket } from 'node:net';
+import { headerNames } from '@catkinwheel/platform';
 import type { Clock, Milliseconds } from '@catkinwheel/state';
 import type { Log } from './log.js';
 
 /** A router that does not accept within this time is gone, frozen or partitioned; latency within a region is some ms. */
 const connectTimeout: Milliseconds = 200;
-/** Longest pause between events of a stream: callers abandon it then. */
-const maxEventGap: Milliseconds = 4_000;
+/** Time in which a caller has to take an error response and close its connection. */
+const lingerTime: Milliseconds = 1_000;
 
 /** Address at which a router takes handed-over connections. */
 export interface Endpoint {
@@ -16,15 +18,28 @@
   readonly port: number;
 }
 
+/** The request on a handed-over connection. */
+export interface RelayedRequest {
+  /** The bytes of it that this router has read. */
+  readonly bytes: Buffer;
+  /** The request id, empty if the request has none. */
+  readonly id: string;
+  /** When the other router has to have begun its response. */
+  readonly answerBy: Milliseconds;
+}
+
 interface Tunnel {
-  /** Address of the router at the far end; undefined until the tunnel is connected. */
-  readonly host: string | undefined;
-  /** Time of the last byte in either direction. */
-  readonly last: Milliseconds;
-  /** Whether that byte came from the caller, so that a response is due. */
-  readonly isAsked: boolean;
+  /** Address of the router at the far end. */
+  readonly host: string;
+  readonly request: RelayedRequest;
+  readonly remote: Socket;
+  /** Whether the response has begun. */
+  readonly hasResponse: boolean;
 }
 
+/** Statuses of error responses, which do not promise that the request has not run. */
+type ErrorStatus = '502 Bad Gateway' | '504 Gateway Timeout';
+
 /** The tunnels of one router. */
 export class Tunnels {
   /** Open tunnels by the caller's connection. */
@@ -50,45 +65,39 @@
     return this.#tunnels.size === 0;
   }
 
-  /** Number of tunnels on which a response is due or may continue. */
-  get busy(): number {
-    const oldest = this.clock.now() - maxEventGap;
-    return [...this.#tunnels.values()].filter(({ last, isAsked }) => isAsked || last >= oldest)
-      .length;
-  }
-
-  /** Resets tunnels to routers that are gone, frozen or partitioned, whose callers would wait in vain. */
-  drop(isLost: (host: string) => boolean): void {
-    for (const [caller, { host }] of this.#tunnels) {
-      if (host === undefined || !isLost(host)) continue;
-      this.log.write('tunnel lost', { ip: host, detail: 'the router is silent' });
-      caller.resetAndDestroy();
+  /** Ends tunnels to routers that are gone, frozen or partitioned, and those whose response is overdue. */
+  endLost(isLost: (host: string) => boolean): void {
+    const now = this.clock.now();
+    for (const [caller, { host, request, hasResponse }] of this.#tunnels) {
+      if (isLost(host)) this.#lose(caller, '502 Bad Gateway', 'the router is silent');
+      else if (!hasResponse && now > request.answerBy)
+        this.#lose(caller, '504 Gateway Timeout', 'the response is overdue');
     }
   }
 
   /**
-   * Connects a caller's connection, from which nothing was read yet, to `end`, or to `fallback` if `end` cannot be reached.
-   * A close or reset of either side is passed to the other.
+   * Connects a caller's paused connection to `end`, which serves the request on it. Resolves with whether that succeeded;
+   * otherwise nothing was passed on, and the connection is unchanged.
    */
-  async open(caller: Socket, end: Endpoint, fallback: Endpoint): Promise<void> {
+  async open(caller: Socket, request: RelayedRequest, end: Endpoint): Promise<boolean> {
     caller.on('error', (error) => {
       this.log.write('tunnelled caller lost', { detail: error.message });
     });
-    this.#openedCount += 1;
-    this.#tunnels.set(caller, { host: undefined, last: this.clock.now(), isAsked: true });
-    caller.once('close', () => this.#tunnels.delete(caller));
-    const remote = (await this.#connect(end)) ?? (await this.#connect(fallback));
-    if (remote === undefined || caller.destroyed) {
-      caller.destroy();
-      remote?.destroy();
-      return;
+    const remote = await this.#connect(end);
+    if (remote === undefined) return false;
+    if (caller.destroyed) {
+      remote.destroy();
+      return true;
     }
-    this.#pipe(caller, remote);
+    this.#openedCount += 1;
+    this.#pipe(caller, { host: end.host, request, remote, hasResponse: false });
+    return true;
   }
 
-  /** Closes all tunnels. */
+  /** Ends all tunnels. */
   close(): void {
-    for (const caller of this.#tunnels.keys()) caller.destroy();
+    for (const caller of this.#tunnels.keys())
+      this.#lose(caller, '502 Bad Gateway', 'the router stops');
   }
 
   /** Resolves with undefined if the connection cannot be opened in time. */
@@ -123,26 +132,56 @@
     });
   }
 
-  #pipe(caller: Socket, remote: Socket): void {
-    const host = remote.remoteAddress;
-    const recordByte = (isAsked: boolean) => (): void => {
-      if (this.#tunnels.has(caller))
-        this.#tunnels.set(caller, { host, last: this.clock.now(), isAsked });
-    };
-    caller.on('data', recordByte(true));
-    remote.on('data', recordByte(false));
-    caller.pipe(remote);
-    remote.pipe(caller);
-    remote.on('error', (error) => {
-      // A response that ends early must not look complete, so the caller's connection is reset, not closed.
-      this.log.write('tunnel lost', { ip: remote.remoteAddress, detail: error.message });
-      caller.resetAndDestroy();
-    });
+  #pipe(caller: Socket, tunnel: Tunnel): void {
+    const { remote, request } = tunnel;
+    this.#tunnels.set(caller, tunnel);
     caller.on('close', () => {
+      this.#tunnels.delete(caller);
       remote.destroy();
     });
-    remote.on('close', () => {
-      caller.destroySoon();
+    remote.once('data', () => {
+      if (this.#tunnels.has(caller)) this.#tunnels.set(caller, { ...tunnel, hasResponse: true });
+    });
+    remote.on('error', (error) => {
+      this.#lose(caller, '502 Bad Gateway', error.message);
     });
+    const onEnd = (): void => {
+      if (this.#tunnels.get(caller)?.hasResponse === true) caller.destroySoon();
+      else this.#lose(caller, '502 Bad Gateway', 'closed without a response');
+    };
+    remote.on('end', onEnd).on('close', onEnd);
+    remote.write(request.bytes);
+    caller.pipe(remote);
+    remote.pipe(caller, { end: false });
   }
+
+  /** Ends a tunnel whose other end is lost: with an error response, or with a reset if a response has begun. */
+  #lose(caller: Socket, status: ErrorStatus, detail: string): void {
+    const tunnel = this.#tunnels.get(caller);
+    if (tunnel === undefined) return;
+    const { host, request, remote, hasResponse } = tunnel;
+    this.#tunnels.delete(caller);
+    this.log.write('tunnel lost', {
+      ip: host,
+      detail,
+      id: request.id,
+      status: hasResponse ? undefined : Number(status.slice(0, 3)),
+    });
+    caller.unpipe(remote);
+    remote.destroy();
+    // A response that ends early must not look complete.
+    if (hasResponse) caller.resetAndDestroy();
+    else answer(caller, status, request.id);
+  }
+}
+
+function answer(caller: Socket, status: ErrorStatus, id: string): void {
+  const fields = ['content-length: 0', 'connection: close'];
+  if (id !== '') fields.push(`${headerNames.requestId}: ${id}`);
+  caller.end(`HTTP/1.1 ${status}\r\n${fields.join('\r\n')}\r\n\r\n`);
+  // Unread bytes of the request would reset the connection before the caller has the response.
+  caller.resume();
+  caller.setTimeout(lingerTime, () => {
+    caller.destroy();
+  });
 }
--- a/packages/standins/src/stack/smallVm.ts
+++ b/packages/standins/src/stack/smallVm.ts
@@ -2,7 +2,7 @@
 // a part of each period and is stopped for the rest, as by a quota of the processor. Other routers may idle beside it.
 
 import { mkdtempSync, rmSync } from 'node:fs';
-import { createServer, type Agent, type Server, type ServerResponse } from 'node:http';
+import { Agent, createServer, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
@@ -26,6 +26,9 @@
 /** Time in which a router that is ready knows its servers. */
 const settleTime: Milliseconds = 500;
 
+/** Port of a router's metrics, relative to the first of its internal ports. */
+const metricsPortOffset = 10;
+
 /** What became of the requests of a flood. */
 export interface FloodResult {
   readonly sent: number;
@@ -72,7 +75,7 @@
       const id = String(request.headers['request-id']);
       arrivals.set(id, performance.now());
       request.resume();
-      void stream(id, response);
+      void (isStream(request.url) ? stream(id, response) : answerAtOnce(id, response));
     });
     await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
     const store = await StackStore.start();
@@ -158,6 +161,38 @@
     return { sent: all.length, whole, refused, left, late };
   }
 
+  /**
+   * What `count` callers get, which ask for `path` on connections that they keep until the router closes them. The other router
+   * is killed as soon as it serves `handedOver` of their requests, or after `killWithin`.
+   */
+  async askWhileOtherEnds(
+    path: string,
+    count: number,
+    handedOver: number,
+    killWithin: Milliseconds,
+  ): Promise<readonly CallResult[]> {
+    const agent = new Agent({ keepAlive: true });
+    const results: CallResult[] = [];
+    const leaving = new AbortController();
+    const { signal } = leaving;
+    const ask = async (): Promise<void> => {
+      while (!signal.aborted) {
+        const result = await this.#call(signal, undefined, undefined, agent, path);
+        if (!hasLeft(signal)) results.push(result);
+      }
+    };
+    const asking = Array.from({ length: count }, ask);
+    const killBy = performance.now() + killWithin;
+    while (performance.now() < killBy && (await this.#underWayAtOther()) < handedOver)
+      await pause(period);
+    await this.#others[0]?.kill();
+    await pause(watchTime);
+    leaving.abort();
+    await Promise.all(asking);
+    agent.destroy();
+    return results;
+  }
+
   async close(): Promise<void> {
     this.#pacing.abort();
     await Promise.all([this.router, ...this.#others].map((router) => router.kill()));
@@ -171,8 +206,12 @@
     const entry = { service: names.model, address: `127.0.0.1:${port}`, zone: 'suva', slots: 512 };
     const start = { version: 'v1', state: 'ready', warmupLeftMs: 0, sequence: 1, born: 1 };
     this.store.put('servers', 'model-1', { ...entry, ...start });
+    this.store.put('servers', 'desk-1', { ...entry, ...start, service: names.desk });
     const engine = { slots: 512, kvTokens: 5_000_000 };
-    const services = [{ name: names.model, warmupS: 0, coldPerS: 0, engine }];
+    const services = [
+      { name: names.model, warmupS: 0, coldPerS: 0, engine },
+      { name: names.desk, warmupS: 0, coldPerS: 0 },
+    ];
     this.store.put('op', 'config', desiredStateOf(1, { services }));
   }
 
@@ -186,6 +225,13 @@
     }
   }
 
+  /** Requests in flight at the other router, by its metrics. */
+  async #underWayAtOther(): Promise<number> {
+    const port = this.ports.link + metricsPortOffset;
+    const metrics = await (await fetch(`http://127.0.0.3:${port}/metrics`)).text();
+    return Number(/^\w*under_way (\d+)$/m.exec(metrics)?.[1]);
+  }
+
   async #callOrLeave(): Promise<'whole' | 'refused' | 'left' | 'late' | 'failed'> {
     const leaving = new AbortController();
     const id = this.#nextId();
@@ -212,10 +258,11 @@
     id = this.#nextId(),
     onHead?: () => void,
     agent?: Agent,
+    path = '/letters/1',
   ): Promise<CallResult> {
     return call({
       address: this.router.callers,
-      path: '/letters/1',
+      path,
       host: names.host,
       id,
       method: 'POST',
@@ -238,6 +285,21 @@
 const watchTime: Milliseconds = 4_000;
 const requestBody = 'x'.repeat(1_500);
 
+function hasLeft({ aborted }: AbortSignal): boolean {
+  return aborted;
+}
+
+function isStream(path = ''): boolean {
+  return path.startsWith('/letters/') || path.startsWith('/drafts/');
+}
+
+/** Answers after as much time as a stream takes. */
+async function answerAtOnce(id: string, response: ServerResponse): Promise<void> {
+  await pause(events * eventPause);
+  response.writeHead(200, { 'request-id': id, 'response-seal': 'seal-desk-1' });
+  response.end('done');
+}
+
 async function stream(id: string, response: ServerResponse): Promise<void> {
   response.writeHead(200, {
     'request-id': id,
