--- a/packages/gateway/src/tunnels.ts
+++ b/packages/gateway/src/tunnels.ts
@@ -31,7 +31,7 @@
 interface Tunnel {
   /** Address of the router at the far end. */
   readonly host: string;
-  readonly request: RelayedRequest;
+  readonly request: Omit<RelayedRequest, 'bytes'>;
   readonly remote: Socket;
   /** Whether the response has begun. */
   readonly hasResponse: boolean;
@@ -90,7 +90,9 @@
       return true;
     }
     this.#openedCount += 1;
-    this.#pipe(caller, { host: end.host, request, remote, hasResponse: false });
+    const { bytes, id, answerBy } = request;
+    remote.write(bytes);
+    this.#pipe(caller, { host: end.host, request: { id, answerBy }, remote, hasResponse: false });
     return true;
   }
 
@@ -133,7 +135,7 @@
   }
 
   #pipe(caller: Socket, tunnel: Tunnel): void {
-    const { remote, request } = tunnel;
+    const { remote } = tunnel;
     this.#tunnels.set(caller, tunnel);
     caller.on('close', () => {
       this.#tunnels.delete(caller);
@@ -150,7 +152,6 @@
       else this.#lose(caller, '502 Bad Gateway', 'closed without a response');
     };
     remote.on('end', onEnd).on('close', onEnd);
-    remote.write(request.bytes);
     caller.pipe(remote);
     remote.pipe(caller, { end: false });
   }
