gateway: bound the memory of request bodies

What callers saw: sixty uploads of 4 MiB at once, each within the limit of the desired state, took a router above the memory that its settings state; the platform ends such a process, and all of its requests are lost.

Cause: each body is buffered whole, since it may have to be sent twice, and nothing bounded their sum. Before the first desired state there was no limit on a single one either.

A body that does not fit is read and dropped, and refused with 503, Retry-After and the reason `bodyMemory`; no server gets it.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -37,6 +37,7 @@
 import { ServerConnections } from './serverConnections.js';
 import { StoreReader } from './storeReader.js';
 import { Tunnels, type Endpoint } from './tunnels.js';
+import { BodyBudget } from './bodyBudget.js';
 import { CpuUsage } from './cpuUsage.js';
 
 /** Interval at which expired servers and load reports are removed. */
@@ -191,6 +192,7 @@
         metrics,
         faults,
         stops,
+        bodyBudget: BodyBudget.create(settings.memory),
         isBehind: () => this.#eventLoopLag.isBehind,
         late: () => this.#eventLoopLag.late,
         random: Math.random,
--- a/packages/gateway/src/requestHandler.ts
+++ b/packages/gateway/src/requestHandler.ts
@@ -36,6 +36,7 @@
   type AttemptLogEntry,
 } from './attempt.js';
 import { ResponseAssembler, type RunResponse } from './responseAssembler.js';
+import type { BodyBudget } from './bodyBudget.js';
 import { CallerResponse } from './callerResponse.js';
 import type { Faults } from './faults.js';
 import type { Log } from './log.js';
@@ -63,6 +64,9 @@
 /** `retry-after` of a router that is behind: it clears its backlog in about this time if no more requests come. */
 const behindRetryAfter: Milliseconds = 1_000;
 
+/** `retry-after` of a refusal for lack of memory for bodies, which requests under way release in about this time. */
+const memoryRetryAfter: Milliseconds = 1_000;
+
 /** Statuses of this router's own responses. Only `refused` promises that the request has not run. */
 const statuses = {
   invalidHeader: 400,
@@ -83,6 +87,8 @@
   readonly metrics: Metrics;
   readonly faults: Faults;
   readonly stops: PlannedStops;
+  /** Memory for request bodies. */
+  readonly bodyBudget: BodyBudget;
   /** Whether new requests are refused because the event loop has not caught up with earlier ones. */
   readonly isBehind: () => boolean;
   /** Event-loop lag of this router. */
@@ -135,6 +141,8 @@
   #forwardedAt: Milliseconds | undefined;
   #acceptWait: Milliseconds | undefined;
   #route: Route | undefined;
+  /** Bytes of the body that are reserved in the budget. */
+  #bodySize = 0;
   #team: Team | undefined;
   #basis: OverloadBasis | undefined;
   /** Whether a server ended the connection of an attempt. */
@@ -207,6 +215,7 @@
       unsubscribe();
       clearTimeout(this.#deadlineTimer);
       clearTimeout(this.#stopTimer);
+      this.dependencies.bodyBudget.release(this.#bodySize);
     }
   }
 
@@ -216,9 +225,10 @@
   }
 
   async #serve(): Promise<void> {
-    const { dispatcher, stops, isBehind } = this.dependencies;
+    const { dispatcher, stops, isBehind, bodyBudget } = this.dependencies;
     const { table } = dispatcher;
-    const body = await readBody(this.request, table?.state.limits.body ?? Infinity);
+    const limit = table?.state.limits.body ?? Infinity;
+    const body = await readBody(this.request, limit, bodyBudget);
     if (body === 'gone') {
       this.#finish('left', 'unread');
       return;
@@ -227,6 +237,11 @@
       this.#reject(statuses.tooLarge, 'bodyTooLarge');
       return;
     }
+    if (body === 'noMemory') {
+      this.#refuse('bodyMemory', memoryRetryAfter);
+      return;
+    }
+    this.#bodySize = body.length;
     if (table === undefined || !stops.takesRequests(this.connection.via)) {
       this.#refuse(table === undefined ? 'noDesiredState' : 'stopping', otherRouterRetryAfter);
       return;
--- a/packages/standins/src/stack/fleet.ts
+++ b/packages/standins/src/stack/fleet.ts
@@ -118,6 +118,7 @@
       region: 'viti-levu',
       regionOf: { suva: 'viti-levu' },
       capacity: 1,
+      memory: 350 * 1024 * 1024,
       listen: { callers: at(1), ready: at(2), peers: at(3), directory: at(4) },
       peerPort: ports[0] ?? 0,
       seeds: first?.settings.listen.peers === undefined ? [] : [first.settings.listen.peers],
