routing: bound what grows by the messages of peers and operators

A peer, or desired states with new names, let a router's memory grow until its end.

Cause: known routers, departures, blocked parts, the parts of a received crash report, planned stops, and what is learned by route, service and cold server had no bound, or only one in time.

Fix: 8,192 routers, the further ones ignored; 8,192 departures, the first ones dropped first; 1,024 blocked parts, those of others not taken over beyond; 24 parts of a crash report, as in those that are sent; planned stops for a minute after their end. What is learned by route and service goes with the desired state that drops them, a retry budget not before its window is empty.

--- a/packages/coordination/src/routing/coldStart.ts
+++ b/packages/coordination/src/routing/coldStart.ts
@@ -63,6 +63,12 @@
     this.#sent.delete(server);
   }
 
+  /** Drops servers to which nothing was sent lately. */
+  expire(): void {
+    for (const [server] of [...this.#sent.entries()])
+      if (this.#recent(server).length === 0) this.#sent.delete(server);
+  }
+
   /** Requests that this router may send to the server in each period. */
   #share({ id }: ServerInstance, rate: number): number {
     const total = Math.floor(usedFraction * (rate * this.bound.factor + this.bound.slack));
--- a/packages/coordination/src/routing/crashReports.ts
+++ b/packages/coordination/src/routing/crashReports.ts
@@ -121,7 +121,8 @@
       (report.isConfirmed && !known.isConfirmed) ||
       requestsOf(report) > requestsOf(known);
     const isConfirmed = report.isConfirmed || known?.isConfirmed === true;
-    if (isNews) this.#put({ ...report, isConfirmed });
+    const parts = report.parts.slice(0, maxParts);
+    if (isNews) this.#put({ ...report, isConfirmed, parts });
     return isNews;
   }
 
--- a/packages/coordination/src/routing/departures.ts
+++ b/packages/coordination/src/routing/departures.ts
@@ -18,6 +18,8 @@
  * store is unreachable return much sooner, and servers that leave have ended by then.
  */
 const retention: Milliseconds = 600_000;
+/** Max departures that are remembered; the first ones are dropped first. */
+const maxDepartures = 8_192;
 
 /** The departures that one router knows. Only the newest instance of an id counts. */
 export class Departures {
@@ -33,7 +35,11 @@
   record(instance: ServerInstance, source: DepartureSource): boolean {
     const known = this.#departures.get(instance);
     if (known?.source === 'response') return false;
+    this.#departures.delete(instance);
     const isRecorded = this.#departures.set(instance, { source, at: this.clock.now() });
+    const [first] = this.#departures.entries();
+    if (first !== undefined && this.#departures.size > maxDepartures)
+      this.#departures.delete(first[0]);
     return isRecorded && known === undefined;
   }
 
--- a/packages/coordination/src/routing/dispatcher.ts
+++ b/packages/coordination/src/routing/dispatcher.ts
@@ -210,6 +210,7 @@
   /** Puts a version of the desired state in force and places queued requests by it. */
   apply(table: RouteTable): void {
     this.#table = table;
+    this.#retain(table);
     this.#admission.placeQueued();
   }
 
@@ -288,6 +289,7 @@
   tick(): void {
     this.#reports.expire();
     this.#holdOffs.expire();
+    this.#coldStart.expire();
     this.#forget(this.servers.expire());
     this.#poisonGuard.tick();
     this.#admission.placeQueued();
@@ -648,6 +650,18 @@
     return this.#service(service)?.engine?.memory ?? 0;
   }
 
+  /** Drops what was learned about routes and services that the desired state does not have. */
+  #retain({ state }: RouteTable): void {
+    const routes = new Set(state.routes.map(({ name }) => name));
+    const services = new Set(state.services.map(({ name }) => name));
+    this.#timeBudgets.retain(routes);
+    this.retryBudget.retain(services);
+    for (const route of this.#responseTimes.keys())
+      if (!routes.has(route)) this.#responseTimes.delete(route);
+    for (const service of this.#engineTimings.keys())
+      if (!services.has(service)) this.#engineTimings.delete(service);
+  }
+
   /** Drops what was learned about instances that are gone or that others have replaced. */
   #forget(instances: readonly ServerInstance[]): void {
     for (const instance of instances) {
--- a/packages/coordination/src/routing/members.ts
+++ b/packages/coordination/src/routing/members.ts
@@ -27,6 +27,8 @@
  * A silent router still counts for shares of budgets for this long, since it may be running but partitioned.
  */
 const removalTimeout: Milliseconds = 60_000;
+/** Max routers that are known, far above the largest fleet; further ones are ignored. */
+const maxRouters = 8_192;
 /** Routers that read the store for the fleet. Three survive the loss of a VM and of a data centre. */
 const storeReaderCount = 3;
 
@@ -77,6 +79,7 @@
     const heard = now - age;
     const known = this.#heartbeats.get(member.name);
     if (known !== undefined && known.heard >= heard) return false;
+    if (!this.#hasRoom(member.name)) return false;
     this.#heartbeats.set(member.name, { member, heard });
     const { name, ip, capacity } = member;
     this.#registered.set(name, { ip, capacity });
@@ -90,7 +93,12 @@
 
   /** Adds a router that is registered in the store or reported by another router. */
   register(name: string, router: RegisteredRouter): void {
-    if (name !== this.self && !this.#heartbeats.has(name)) this.#registered.set(name, router);
+    if (name === this.self || this.#heartbeats.has(name) || !this.#hasRoom(name)) return;
+    this.#registered.set(name, router);
+  }
+
+  #hasRoom(name: string): boolean {
+    return this.#registered.has(name) || this.#registered.size < maxRouters;
   }
 
   /** Removes a router whose registration was removed. */
--- a/packages/coordination/src/routing/plannedStops.ts
+++ b/packages/coordination/src/routing/plannedStops.ts
@@ -14,6 +14,8 @@
 const exitMarginFraction = 1 / 8;
 /** Time after SIGTERM within which other routers have heard of the stop, if a datagram is lost too. */
 const noticeTime: Milliseconds = 300;
+/** Time for which the stop of a router is remembered after its end; datagrams from before it come sooner. */
+const retention: Milliseconds = 60_000;
 
 interface Stop {
   /** Until when requests are taken at all. */
@@ -58,10 +60,16 @@
       return;
     }
     if (this.#others.has(ip)) return;
+    this.#forgetEnded();
     this.#others.set(ip, this.#stopAt(this.clock.now() - age - noticeTime));
     this.#notify();
   }
 
+  #forgetEnded(): void {
+    const oldest = this.clock.now() - retention;
+    for (const [ip, { endsAt }] of this.#others) if (endsAt < oldest) this.#others.delete(ip);
+  }
+
   /**
    * When the responses on a connection have to be complete; infinite while neither this router stops nor the one at `via`,
    * which holds the connection for it.
--- a/packages/coordination/src/routing/poisonParts.ts
+++ b/packages/coordination/src/routing/poisonParts.ts
@@ -33,6 +33,8 @@
 const minAdoptedTime: Milliseconds = 2_000;
 /** Max parts for which the last proof is remembered; the one that was proven longest ago is forgotten first. */
 const maxProofs = 20_000;
+/** Max blocks that are kept; those of other routers are not taken over beyond, and the oldest of this one are dropped. */
+const maxBlocks = 1_024;
 
 interface Block {
   readonly at: Milliseconds;
@@ -97,6 +99,7 @@
   /** Takes over the block of another router, for at most `blockTime`, unless this router has seen a request with the part answered. */
   adopt([part, remaining]: TimedPart): boolean {
     if (remaining < minAdoptedTime || this.#proofs.has(part) || this.#isBlocked(part)) return false;
+    if (this.#blocks.size >= maxBlocks) return false;
     const now = this.clock.now();
     this.#blocks.set(part, { at: now, until: now + Math.min(remaining, blockTime) });
     return true;
@@ -186,6 +189,10 @@
     const now = this.clock.now();
     const before = this.#blocks.get(part);
     this.#blocks.set(part, { at: now, until: now + this.#blockTime(part, before) });
+    for (const oldest of this.#blocks.keys()) {
+      if (this.#blocks.size <= maxBlocks) break;
+      this.#blocks.delete(oldest);
+    }
   }
 
   #blockTime(part: string, before: Block | undefined): Milliseconds {
--- a/packages/coordination/src/routing/retryBudget.ts
+++ b/packages/coordination/src/routing/retryBudget.ts
@@ -57,6 +57,14 @@
     return true;
   }
 
+  /** Forgets all services but these, and those that are in use in the current window. */
+  retain(services: ReadonlySet<string>): void {
+    for (const [service, { requests, retries }] of this.#accounts) {
+      const isUnused = requests.total() === 0 && retries.total() === 0;
+      if (isUnused && !services.has(service)) this.#accounts.delete(service);
+    }
+  }
+
   #account(service: string): Account {
     const known = this.#accounts.get(service);
     if (known !== undefined) return known;
--- a/packages/coordination/src/routing/serverInstance.ts
+++ b/packages/coordination/src/routing/serverInstance.ts
@@ -42,6 +42,10 @@
     return new InstanceMap();
   }
 
+  get size(): number {
+    return this.#entries.size;
+  }
+
   get(instance: ServerInstance): Value | undefined {
     const known = this.#entries.get(instance.id);
     return known !== undefined && isSameInstance(known.instance, instance)
@@ -75,7 +79,7 @@
     this.#entries.delete(id);
   }
 
-  /** Instances with their values. */
+  /** Instances with their values, in the order in which their ids were added. */
   *entries(): Generator<readonly [ServerInstance, Value], void, void> {
     for (const { instance, value } of this.#entries.values()) yield [instance, value];
   }
--- a/packages/coordination/src/routing/timeBudgets.ts
+++ b/packages/coordination/src/routing/timeBudgets.ts
@@ -29,6 +29,11 @@
     return new TimeBudgets(clock);
   }
 
+  /** Forgets all routes but these. */
+  retain(routes: ReadonlySet<string>): void {
+    for (const route of this.#byRoute.keys()) if (!routes.has(route)) this.#byRoute.delete(route);
+  }
+
   /** Records the time left of an arriving request; returns whether its caller has probably come back with it. */
   observe(route: string, timeLeft: Milliseconds): boolean {
     const now = this.clock.now();
