--- a/packages/standins/src/stack/routerProcess.ts
+++ b/packages/standins/src/stack/routerProcess.ts
@@ -15,6 +15,8 @@
 /** Time within which a router has to be ready after its start, with nothing wrong around it. */
 const readyWithin: Milliseconds = 10_000;
 const askInterval: Milliseconds = 50;
+/** Lines of its log that are shown for a router that is not ready in time. */
+const loggedLines = 8;
 /** Unit of processor times that Linux states for processes, on all its platforms that node runs on. */
 const clockTick: Milliseconds = 10;
 
@@ -141,10 +143,16 @@
   async ready(): Promise<void> {
     const end = Date.now() + readyWithin;
     while (Date.now() < end) {
+      if (!this.isRunning)
+        throw new Error(
+          `${this.name} ended with ${String(await this.#exited)} before it was ready`,
+        );
       if (await this.#isReady()) return;
       await pause(askInterval);
     }
-    throw new Error(`${this.name} is not ready after ${readyWithin} ms`);
+    const log = readFileSync(join(this.options.folder, `${this.name}.log`), 'utf8');
+    const last = log.split('\n').slice(-loggedLines).join('\n');
+    throw new Error(`${this.name} is not ready after ${readyWithin} ms; its last lines: ${last}`);
   }
 
   async kill(): Promise<void> {
