--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -13,6 +13,8 @@
 export type AttemptOutcome =
   /** The caller has the complete response. */
   | { readonly kind: 'delivered'; readonly status: number }
+  /** The request cannot be written as HTTP, to whichever server. */
+  | { readonly kind: 'unsendable'; readonly detail: string }
   /** No byte of the request was sent. */
   | { readonly kind: 'unsent'; readonly detail: string }
   /** The server promises that the request has not run. */
@@ -44,11 +46,13 @@
   readonly result: string;
 }
 
-/** The result that counts for the server's health; undefined if the caller or its deadline ended the attempt. */
+/** The result that counts for the server's health; undefined if the attempt says nothing about it. */
 export function serverOutcomeOf(attempt: AttemptOutcome): ServerOutcome | undefined {
   switch (attempt.kind) {
     case 'delivered':
       return attempt.status >= 500 ? 'failed' : 'answered';
+    case 'unsendable':
+      return undefined;
     case 'unsent':
       return 'unreachable';
     case 'notRun':
@@ -73,6 +77,7 @@
       return 'ended by silence';
     case 'ended':
       return `ended by ${attempt.cause}`;
+    case 'unsendable':
     case 'unsent':
     case 'failed':
     case 'cut':
--- a/packages/gateway/src/requestHandler.ts
+++ b/packages/gateway/src/requestHandler.ts
@@ -22,6 +22,7 @@
   decodeServerNotice,
   encodeServerHeaders,
   headerNames,
+  isFieldValue,
   isMisdirected,
   type ResponseHeaders,
   type RequestHead,
@@ -267,6 +268,10 @@
         this.#reject(statuses.unknownKey, 'unknownKey');
         return;
       }
+      if (!isFieldValue(this.#team.name)) {
+        this.#refuse('unsendable', otherRouterRetryAfter);
+        return;
+      }
     }
     await this.#tryServers(route, body);
   }
@@ -364,6 +369,9 @@
           replacement = attempt.by;
           metrics.repeats.inc({ reason: 'silence' });
           continue;
+        case 'unsendable':
+          this.#endWithoutResponse(attempt.kind, verdict, otherRouterRetryAfter);
+          return;
         case 'unsent':
           continue;
         case 'notRun':
@@ -611,6 +619,7 @@
       const cause = signal.reason as AbortCause;
       return { kind: 'ended', cause };
     }
+    if (reason === 'badRequest') return { kind: 'unsendable', detail };
     if (verdict === 'notRun') return { kind: 'unsent', detail };
     return this.#brokenAttempt(detail, reason === 'connectionLost');
   }
