gateway: SIGHUP puts changed settings in force as far as a running router can

What operators saw: after SIGHUP the settings file was read and checked, and nothing of it was used. A router went on with an old address of the store, old bounds and an old grace time until its next start. `updateSettings` is the one place that says what can change: `bounds` but the window of retries, the region of each data centre and the address of the store. Their readers ask for the settings in force; calls in progress at the old address of the store fail and are tried at the new one. A file that is wrong leaves all as it is.

--- a/packages/coordination/src/routing/boundedState.test.ts
+++ b/packages/coordination/src/routing/boundedState.test.ts
@@ -46,7 +46,7 @@
 
 test('the stop of a router is forgotten some time after its end', async () => {
   const clock = Clock.manual(1_000);
-  const stops = PlannedStops.create(clock, 8_000);
+  const stops = PlannedStops.create(clock, { grace: 8_000 });
   stops.recordHeartbeat('10.0.0.1', true, 0);
   await clock.advance(60_000);
   stops.recordHeartbeat('10.0.0.2', true, 0);
--- a/packages/coordination/src/routing/plannedStops.test.ts
+++ b/packages/coordination/src/routing/plannedStops.test.ts
@@ -12,7 +12,7 @@
     // Guards against LOST at the end of the grace, and against ending before its last sixth.
     test(`with ${grace / 1_000} s of grace ends in the last sixth of it`, () => {
       const clock = Clock.manual(5_000);
-      const stops = PlannedStops.create(clock, grace);
+      const stops = PlannedStops.create(clock, { grace });
       assert.equal(stops.endOf(undefined), Infinity);
       stops.begin();
       const used = stops.endOf(undefined) - clock.now();
@@ -22,7 +22,7 @@
     // Guards against a router that keeps taking requests until its end.
     test(`with ${grace / 1_000} s of grace takes requests for a part of it only`, async () => {
       const clock = Clock.manual(5_000);
-      const stops = PlannedStops.create(clock, grace);
+      const stops = PlannedStops.create(clock, { grace });
       stops.begin();
       assert.ok(stops.takesRequests(undefined));
       await clock.advance(Math.min(3_001, grace));
@@ -31,7 +31,7 @@
   }
 
   test('tells those that wait of the stop, once', () => {
-    const stops = PlannedStops.create(Clock.manual(), 8_000);
+    const stops = PlannedStops.create(Clock.manual(), { grace: 8_000 });
     let told = 0;
     const unsubscribe = stops.onChange(() => (told += 1));
     stops.begin();
@@ -47,8 +47,8 @@
   // Guards against answers that come after the end of the router through which their callers are connected.
   test('bounds the requests on it by its own end, however late that is heard', async () => {
     const clock = Clock.manual(5_000);
-    const holding = PlannedStops.create(clock, 8_000);
-    const serving = PlannedStops.create(clock, 8_000);
+    const holding = PlannedStops.create(clock, { grace: 8_000 });
+    const serving = PlannedStops.create(clock, { grace: 8_000 });
     holding.begin();
     await clock.advance(250);
     serving.recordHeartbeat(holder, true, 100);
@@ -59,7 +59,7 @@
   });
 
   test('that runs again bounds nothing', () => {
-    const stops = PlannedStops.create(Clock.manual(5_000), 8_000);
+    const stops = PlannedStops.create(Clock.manual(5_000), { grace: 8_000 });
     stops.recordHeartbeat(holder, true, 0);
     stops.recordHeartbeat(holder, false, 0);
     assert.equal(stops.endOf(holder), Infinity);
--- a/packages/coordination/src/routing/plannedStops.ts
+++ b/packages/coordination/src/routing/plannedStops.ts
@@ -24,6 +24,12 @@
   readonly endsAt: Milliseconds;
 }
 
+/** Bounds on planned stops, the same for all routers. */
+export interface StopBounds {
+  /** Time from SIGTERM to SIGKILL. */
+  readonly grace: Milliseconds;
+}
+
 /** The planned stops of this router and of those that hold callers' connections for it. */
 export class PlannedStops {
   #own: Stop | undefined;
@@ -33,12 +39,12 @@
 
   private constructor(
     private readonly clock: Clock,
-    private readonly grace: Milliseconds,
+    private readonly bounds: StopBounds,
   ) {}
 
-  /** `grace` is the time from SIGTERM to SIGKILL, the same for all routers. */
-  static create(clock: Clock, grace: Milliseconds): PlannedStops {
-    return new PlannedStops(clock, grace);
+  /** `bounds` are read whenever a stop becomes known. */
+  static create(clock: Clock, bounds: StopBounds): PlannedStops {
+    return new PlannedStops(clock, bounds);
   }
 
   /** Whether this router is stopping. */
@@ -101,8 +107,9 @@
   }
 
   #stopAt(requestedAt: Milliseconds): Stop {
-    const margin = Math.min(maxExitMargin, this.grace * exitMarginFraction);
-    const endsAt = requestedAt + this.grace - margin;
+    const { grace } = this.bounds;
+    const margin = Math.min(maxExitMargin, grace * exitMarginFraction);
+    const endsAt = requestedAt + grace - margin;
     return { takesUntil: Math.min(requestedAt + lameDuckDuration, endsAt), endsAt };
   }
 
--- a/packages/gateway/src/firstRequest.test.ts
+++ b/packages/gateway/src/firstRequest.test.ts
@@ -12,9 +12,7 @@
 const whole = `${head}Content-Length: 4\r\n\r\nbody`;
 
 /** A caller's connection, and what a router reads from it first. */
-async function opened(
-  t: TestContext,
-): Promise<{
+async function opened(t: TestContext): Promise<{
   readonly caller: Socket;
   readonly accepted: Promise<[Socket, FirstRequest | undefined]>;
 }> {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -5,6 +5,7 @@
   Dispatcher,
   Members,
   PlannedStops,
+  type StopBounds,
   WorkTimer,
   selectEntryRouters,
   shouldHandOver,
@@ -35,6 +36,7 @@
 import { PeerState } from './peerState.js';
 import { Registration } from './registration.js';
 import { ServerConnections } from './serverConnections.js';
+import { updateSettings } from './settingsUpdate.js';
 import { StoreReader } from './storeReader.js';
 import { Tunnels, type Endpoint } from './tunnels.js';
 import { BodyBudget } from './bodyBudget.js';
@@ -75,6 +77,7 @@
   readonly #members: Members;
   readonly #dispatcher: Dispatcher;
   readonly #storeReplica: StoreReplica;
+  readonly #store: StoreClient;
   readonly #connections = ServerConnections.create();
   readonly #frontend: Frontend;
   readonly #tunnels: Tunnels;
@@ -94,7 +97,7 @@
   /** Event-loop times at the last log line about the load. */
   #loggedTimes: { readonly at: Milliseconds; readonly times: WorkTimes };
 
-  private constructor(private readonly settings: Settings) {
+  private constructor(private settings: Settings) {
     const clock = this.#clock;
     const { router, ip, dataCentre, capacity } = settings;
     const log = Log.create(clock, router, this.#boot);
@@ -103,28 +106,33 @@
     const members = Members.create(clock, router, capacity);
     const work = WorkTimer.create(clock);
     this.#loggedTimes = { at: clock.now(), times: work.times() };
-    const dispatcher = Dispatcher.create({
-      ...dispatcherOptions(settings, clock, work, members),
-      onServer: (server, change, failureRate) => {
-        log.write(`server ${change}`, { server, failureRate: Number(failureRate.toFixed(2)) });
-      },
-      onPart: ({ kind, ...fields }) => {
-        log.write(`prompt part ${kind}`, fields);
-      },
-      onError: (error) => {
-        faults.record('queue', error);
-      },
-      isRefused: (address) =>
-        isRefused(address).catch((error: unknown) => {
-          faults.record('probe', error);
-          return false;
-        }),
-    });
+    const dispatcher = Dispatcher.create(
+      dispatcherOptions(() => this.settings, clock, work, members, {
+        onServer: (server, change, failureRate) => {
+          log.write(`server ${change}`, { server, failureRate: Number(failureRate.toFixed(2)) });
+        },
+        onPart: ({ kind, ...fields }) => {
+          log.write(`prompt part ${kind}`, fields);
+        },
+        onError: (error) => {
+          faults.record('queue', error);
+        },
+        isRefused: (address) =>
+          isRefused(address).catch((error: unknown) => {
+            faults.record('probe', error);
+            return false;
+          }),
+      }),
+    );
     const storeReplica = StoreReplica.create(clock, dispatcher, log, faults);
     const store = StoreClient.create(settings.store);
+    this.#store = store;
     this.#log = log;
     this.#faults = faults;
-    const stops = PlannedStops.create(clock, settings.bounds.grace);
+    const stops = PlannedStops.create(
+      clock,
+      stopBounds(() => this.settings),
+    );
     this.#stops = stops;
     this.#cpuUsage = CpuUsage.create(clock, capacity);
     this.#workTimer = work;
@@ -249,9 +257,12 @@
     this.#log.write('stopped', { cut });
   }
 
-  /** Logs that the settings file was read again and is valid; its settings take effect at the next start. */
-  reloaded(): void {
-    this.#log.write('settings read again', {});
+  /** Puts changed settings in force as far as they can be while the router runs, and logs which are and which are not. */
+  update(read: Settings): void {
+    const { settings, applied, needRestart } = updateSettings(this.settings, read);
+    this.settings = settings;
+    this.#store.moveTo(settings.store);
+    this.#log.write('settings read again', { applied, needRestart });
   }
 
   async #start(): Promise<void> {
@@ -457,23 +468,47 @@
   }
 }
 
+function stopBounds(settings: () => Settings): StopBounds {
+  return {
+    get grace() {
+      return settings().bounds.grace;
+    },
+  };
+}
+
+/** Options that read what may change from the settings in force. */
 function dispatcherOptions(
-  settings: Settings,
+  settings: () => Settings,
   clock: Clock,
   work: WorkTimer,
   members: Members,
+  callbacks: Pick<DispatcherOptions, 'onServer' | 'onPart' | 'onError' | 'isRefused'>,
 ): DispatcherOptions {
-  const { bounds } = settings;
+  const { router, dataCentre, bounds } = settings();
   return {
+    ...callbacks,
     clock,
     work,
-    self: settings.router,
-    dataCentre: settings.dataCentre,
-    regionOf: settings.regionOf,
-    cold: { factor: bounds.coldFactor, slack: bounds.coldSlack },
+    self: router,
+    dataCentre,
+    get regionOf() {
+      return settings().regionOf;
+    },
+    cold: {
+      get factor() {
+        return settings().bounds.coldFactor;
+      },
+      get slack() {
+        return settings().bounds.coldSlack;
+      },
+    },
     repeats: {
-      ratio: bounds.retryRatio,
-      slack: bounds.retrySlack,
+      get ratio() {
+        return settings().bounds.retryRatio;
+      },
+      get slack() {
+        return settings().bounds.retrySlack;
+      },
       window: bounds.retryWindow,
     },
     routers: () => members.names(),
--- a/packages/gateway/src/main.ts
+++ b/packages/gateway/src/main.ts
@@ -37,11 +37,9 @@
     stop: () => {
       void gateway.stop().then(() => process.exit(exitCodes.stopped));
     },
-    // SIGHUP only checks the settings file: changed settings take effect when the process is restarted.
     reload: () => {
       try {
-        readSettings();
-        gateway.reloaded();
+        gateway.update(readSettings());
       } catch (error) {
         standardError.write(`catkinwheel: settings not read again: ${String(error)}`);
       }
--- a/packages/standins/src/stack/plannedStop.test.ts
+++ b/packages/standins/src/stack/plannedStop.test.ts
@@ -287,6 +287,24 @@
   assert.equal(await router.stop(), 0);
 });
 
+// Guards against settings that are read again and not used.
+test('a router stops within the grace time that its settings state since SIGHUP', async (t) => {
+  const trial = await StopTrial.start(2_500);
+  t.after(() => trial.close());
+  const router = await startRouter(t, trial, '127.0.0.49', 30_000);
+  // A file that is wrong leaves the settings in force as they are.
+  router.changeSettings({ bounds: 'none' });
+  router.signal('SIGHUP');
+  await pause(settleTime);
+  router.changeSettings({ bounds: { graceS: 1 } });
+  router.signal('SIGHUP');
+  await pause(settleTime);
+  const stopAt = performance.now();
+  assert.equal(await router.stop(), 0);
+  const took = performance.now() - stopAt;
+  assert.ok(took < 1_200, `the router ended after ${took} ms`);
+});
+
 describe('signals that come while a router starts', { concurrency: true }, () => {
   for (const [index, signal] of (['SIGTERM', 'SIGINT', 'SIGHUP'] as const).entries())
     // Guards against a start that a signal ends by its default action.
--- a/packages/standins/src/stack/routerProcess.ts
+++ b/packages/standins/src/stack/routerProcess.ts
@@ -188,6 +188,12 @@
     this.#child?.kill(name);
   }
 
+  /** Replaces fields of the settings file until the next start. */
+  changeSettings(changes: Readonly<Record<string, unknown>>): void {
+    const file = join(this.options.folder, `${this.name}.json`);
+    writeFileSync(file, JSON.stringify({ ...JSON.parse(readFileSync(file, 'utf8')), ...changes }));
+  }
+
   /** Closes the reading ends of standard output and standard error. */
   closeOutput(): void {
     this.#child?.stdout?.destroy();
