routing: a lapsed registration gets no requests from the moment on at which it lapses

What servers saw: one whose registration was missing when the store returned got requests for 2 s and up to one tick more, where DRAIN allows 2 s. Cause: lapsed servers were dropped at the next tick, and placement did not look at the time. Evidence: dispatcher.test.ts fails before: 2 s after the registration went, without a tick, a request is placed at the server. Placement leaves lapsed servers out; the tick still drops what is known of them. No run with a fleet.

--- a/packages/coordination/src/routing/dispatcher.test.ts
+++ b/packages/coordination/src/routing/dispatcher.test.ts
@@ -66,6 +66,20 @@
   }
 });
 
+// Guards against DRAIN: a server that lapses between two ticks gets requests until the next one.
+test('no request goes to a server whose registration was not renewed in time, before the next tick either', async () => {
+  const clock = Clock.manual(1_000);
+  const router = dispatcher(clock);
+  router.applyServers([server('a'), server('b')], false);
+  router.applyServers([server('b')], true);
+  await clock.advance(2_000);
+  for (let index = 0; index < 4; index += 1) {
+    const grant = await settled(clock, router.acquire(request(clock), never));
+    assert.ok(grant?.kind === 'server' && grant.server.id === 'b');
+    grant.started();
+  }
+});
+
 test('servers of a data centre that returns to service are limited to the rate of cold ones', async () => {
   const clock = Clock.manual(1_000);
   const router = dispatcher(clock);
--- a/packages/coordination/src/routing/dispatcher.ts
+++ b/packages/coordination/src/routing/dispatcher.ts
@@ -534,7 +534,7 @@
     );
   }
 
-  /** Servers of the service that are neither leaving nor in a data centre out of service. */
+  /** Servers of the service that are neither leaving, nor lapsed, nor in a data centre out of service. */
   #stayingServers(service: string): readonly KnownServer[] {
     return this.servers
       .all()
@@ -542,6 +542,7 @@
         (server) =>
           server.service === service &&
           !server.isLeaving &&
+          !this.servers.hasLapsed(server) &&
           !this.#evacuated.has(server.dataCentre),
       );
   }
--- a/packages/coordination/src/routing/serverTable.ts
+++ b/packages/coordination/src/routing/serverTable.ts
@@ -148,9 +148,7 @@
       ({ since }) => now - since >= lateWriteTime,
     );
     const replaced = isDue ? this.update(...this.#registrations) : [];
-    const expired = [...this.#servers.values()].filter(
-      ({ lapses }) => lapses !== undefined && lapses <= now,
-    );
+    const expired = [...this.#servers.values()].filter((server) => this.hasLapsed(server));
     if (expired.length === 0) return replaced;
     const next = new Map(this.#servers);
     for (const { id } of expired) next.delete(id);
@@ -158,6 +156,11 @@
     return [...replaced, ...expired];
   }
 
+  /** Whether the time to renew the server's registration has passed. It stays in the table until `expire` is called. */
+  hasLapsed({ lapses }: KnownServer): boolean {
+    return lapses !== undefined && lapses <= this.clock.now();
+  }
+
   /** Whether the instance may end now as planned: it has said that it leaves, or has been off the list for long enough. */
   mayEnd(instance: ServerInstance): boolean {
     if (this.#departures.has(instance)) return true;
