--- a/packages/coordination/src/attempt.ts
+++ b/packages/coordination/src/attempt.ts
@@ -46,8 +46,8 @@
   readonly deadline: Milliseconds;
   /** Silence timeout of the connection of a plain response; undefined for none. */
   readonly plainSilenceTimeout: Milliseconds | undefined;
-  /** Whether another server is ready to take over from one that is silent. */
-  readonly replace: (signal: AbortSignal) => Promise<boolean>;
+  /** Reserves another server to take over from one that is silent; returns whether there is one. Never rejects. */
+  readonly findReplacement: (signal: AbortSignal) => Promise<boolean>;
 }
 
 /** Runs one attempt and settles its permit. */
@@ -126,14 +126,14 @@
   }
 
   #createGuard(caller: AbortSignal | undefined): ConnectionGuard {
-    const { handle, deadline, plainSilenceTimeout, replace } = this.#plan;
+    const { handle, deadline, plainSilenceTimeout, findReplacement } = this.#plan;
     const silenceTimeout = this.#isModelStream ? streamSilenceTimeout : plainSilenceTimeout;
     return this.#ports.watchdog.guard({
       caller,
       revoked: handle.revoked,
       deadline,
       silenceTimeout,
-      replace: this.#isModelStream ? undefined : replace,
+      findReplacement: this.#isModelStream ? undefined : findReplacement,
     });
   }
 
--- a/packages/coordination/src/connectionGuard.ts
+++ b/packages/coordination/src/connectionGuard.ts
@@ -26,10 +26,10 @@
   /** Maximum time without a byte while the server is due to send; undefined without a limit. */
   readonly silenceTimeout: Milliseconds | undefined;
   /**
-   * Called after that time: whether another server is ready to take over, so that the connection is to be closed. Aborting
-   * `signal` ends the search. Undefined if the connection is closed in any case, since its server gives the rest on another.
+   * Called after that time: reserves another server to take over, and the connection is closed if there is one. Aborting `signal`
+   * ends the search. Never rejects. Undefined if the connection is closed in any case, since its server gives the rest on another.
    */
-  readonly replace: ((signal: AbortSignal) => Promise<boolean>) | undefined;
+  readonly findReplacement: ((signal: AbortSignal) => Promise<boolean>) | undefined;
 }
 
 /** Checks the time limits of all server connections. */
@@ -137,15 +137,15 @@
 
   /** A sound server may pause and go on, so it is awaited until another one is ready. */
   #onSilence(timeout: Milliseconds): void {
-    const { replace } = this.#options;
-    if (replace === undefined) {
+    const { findReplacement } = this.#options;
+    if (findReplacement === undefined) {
       this.#abort('silentConnection');
       return;
     }
     if (this.#search !== undefined) return;
     const search = new AbortController();
     this.#search = search;
-    void replace(search.signal).then((isReady) => {
+    void findReplacement(search.signal).then((isReady) => {
       if (this.#search !== search) return;
       this.#search = undefined;
       if (isReady) this.#abort('silentConnection');
--- a/packages/coordination/src/execution.ts
+++ b/packages/coordination/src/execution.ts
@@ -195,8 +195,18 @@
       : ok(replacement);
   }
 
-  /** Acquires a permit to take over from a silent server; returns whether there is one. */
+  /** Acquires a permit to take over from a silent server; returns whether there is one. Never rejects. */
   async #findReplacement(signal: AbortSignal): Promise<boolean> {
+    try {
+      return await this.#reserveReplacement(signal);
+    } catch (error) {
+      const name = error instanceof Error ? error.name : typeof error;
+      this.#ports.metrics.count('request.fault', { activity: 'replacement', error: name });
+      return false;
+    }
+  }
+
+  async #reserveReplacement(signal: AbortSignal): Promise<boolean> {
     const { budget, permits } = this.#ports;
     const { service } = this.#target.entry;
     if (!this.#isSafeToRetry || !budget.allows(service)) return false;
@@ -204,7 +214,7 @@
     const acquired = await permits.acquire(this.#permitRequest(), signal);
     if (acquired.isErr()) return false;
     const handle = acquired.value;
-    const isUsable = !signal.aborted && !this.#isPermitDeclined(handle.permit.server);
+    const isUsable = !signal.aborted && !this.#avoidedServers.includes(handle.permit.server);
     if (isUsable && budget.withdraw(service)) {
       this.#replacement = handle;
       return true;
@@ -259,7 +269,7 @@
       plainSilenceTimeout: hasSilenceTimeout
         ? this.#ports.silenceTimeouts.timeout(entry.service)
         : undefined,
-      replace: (signal: AbortSignal) => this.#findReplacement(signal),
+      findReplacement: (signal: AbortSignal) => this.#findReplacement(signal),
     };
     const run = AttemptRun.create(this.#ports, plan, this.#progress);
     this.#lastAttempt = run;
--- a/packages/coordination/src/routing/dispatcher.test.ts
+++ b/packages/coordination/src/routing/dispatcher.test.ts
@@ -327,3 +327,19 @@
   assert.ok(reported.length <= 1_000, `${reported.length} parts wait`);
   assert.equal(reported[0], 'm/p0-0');
 });
+
+// Guards against a silent server that goes on getting requests since nothing takes over from it, and against a silence that counts twice.
+test('the silence of a server counts as one failure, whether or not another one takes over', async () => {
+  const clock = Clock.manual(20_000);
+  const router = dispatcher(clock);
+  const only = server('a');
+  router.applyServers([only], false);
+  const once = await settled(clock, router.acquire(request(clock), never));
+  assert.ok(once?.kind === 'server');
+  once.silent();
+  const rate = router.serverHealth.failureRate(only);
+  assert.ok(rate > 0);
+  once.silent();
+  once.finish('failed');
+  assert.equal(router.serverHealth.failureRate(only), rate);
+});
--- a/packages/coordination/src/routing/dispatcher.ts
+++ b/packages/coordination/src/routing/dispatcher.ts
@@ -98,6 +98,8 @@
   started(): void;
   /** Marks that bytes of a successful response have arrived. */
   progressed(): void;
+  /** Marks that the server has sent nothing for longer than expected, which counts as one failure of it. */
+  silent(): void;
   /** Ends the attempt. `result` is omitted if the attempt says nothing about the server's health. */
   finish(result?: ServerOutcome): void;
 }
@@ -452,6 +454,7 @@
     const sent = clock.now();
     let startedAt: Milliseconds | undefined;
     let isFinished = false;
+    let isSilent = false;
     this.#grants.set(job, {
       kind: 'server',
       server,
@@ -471,6 +474,11 @@
       progressed: () => {
         run.progressed();
       },
+      silent: () => {
+        if (isSilent) return;
+        isSilent = true;
+        this.#recordOutcome(server, service, 'failed');
+      },
       finish: (result) => {
         inFlight.finish();
         run.finished(result);
@@ -478,7 +486,8 @@
         if (!isFinished && result === 'answered')
           this.#learnDuration(request, predicted, sent, startedAt ?? clock.now());
         isFinished = true;
-        if (result !== undefined) this.#recordOutcome(server, service, result);
+        const isCounted = isSilent && result === 'failed';
+        if (result !== undefined && !isCounted) this.#recordOutcome(server, service, result);
         this.#admission.placeQueued();
       },
     });
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -74,7 +74,7 @@
     case 'notRun':
       return `${attempt.kind} ${attempt.status}`;
     case 'replaced':
-      return 'ended by silence';
+      return 'replaced after silence';
     case 'ended':
       return `ended by ${attempt.cause}`;
     case 'unsendable':
--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -15,6 +15,7 @@
 import { AcceptProbe } from './acceptProbe.js';
 import { CallerConnection } from './callerConnection.js';
 import { callerLeft } from './callerLeft.js';
+import { nextTurn } from './eventLoopTurn.js';
 import { readFirstRequest } from './firstRequest.js';
 import {
   RequestHandler,
@@ -79,6 +80,10 @@
       this.#onClientError(error, socket);
     });
     this.#acceptQueue = AcceptQueue.create(dependencies.clock, acceptBacklog(capacity));
+    // The idle time of a connection has passed.
+    this.#server.on('timeout', (socket: Socket) => {
+      void closeUnlessRead(socket);
+    });
     // Each request in flight listens for the close; a caller may pipeline many.
     this.#server.on('connection', (socket) => socket.setMaxListeners(0));
     this.#listener = createListener({ allowHalfOpen: true, noDelay: true }, (socket) => {
@@ -267,6 +272,13 @@
   }
 }
 
+/** Closes an idle connection, unless a request waits to be read: after a stall of this process timers run before reads. */
+async function closeUnlessRead(socket: Socket): Promise<void> {
+  const { bytesRead } = socket;
+  await nextTurn();
+  if (socket.bytesRead === bytesRead) socket.destroy();
+}
+
 function listen(server: Listener, { host, port }: Endpoint, backlog: number): Promise<void> {
   return new Promise((resolve, reject) => {
     server.once('error', reject);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -30,6 +30,7 @@
 import { Frontend } from './frontend.js';
 import { StoreReplica } from './storeReplica.js';
 import { CachedPartsReader } from './cachedPartsReader.js';
+import { nextTurn } from './eventLoopTurn.js';
 import { EventLoopLag } from './eventLoopLag.js';
 import { Log } from './log.js';
 import { Metrics } from './metrics.js';
@@ -419,8 +420,10 @@
     });
   }
 
-  #endLostTunnels(): void {
+  async #endLostTunnels(): Promise<void> {
     if (this.#tunnels.isEmpty) return;
+    // After a stall of this process heartbeats and responses wait to be read.
+    await nextTurn();
     const alive = new Set(this.#members.addressesHeardWithin(lostRouterTimeout));
     this.#tunnels.endLost((host) => !alive.has(host));
   }
@@ -459,9 +462,7 @@
       this.#faults.contain('tick', () => {
         this.#updateHandover();
       });
-      this.#faults.contain('tick', () => {
-        this.#endLostTunnels();
-      });
+      this.#faults.watch('tick', this.#endLostTunnels());
       const hasQueue = this.#dispatcher.waiting > 0;
       await this.#eventLoopLag.sleep(hasQueue ? queueTickInterval : tickInterval, signal);
     }
--- a/packages/gateway/src/requestHandler.ts
+++ b/packages/gateway/src/requestHandler.ts
@@ -148,7 +148,7 @@
   #basis: OverloadBasis | undefined;
   /** Whether a server ended the connection of an attempt. */
   #isDisconnected = false;
-  /** Whether a further server was not tried since the retry budget was used up. */
+  /** Whether the retry budget was used up when a further server was last to be tried. */
   #lacksBudget = false;
 
   private constructor(
@@ -389,8 +389,9 @@
         (attempt.kind === 'notRun' || isRetriable(route)) &&
         answer.isContinuable &&
         !this.#abortController.signal.aborted;
-      if (isAllowed && !dispatcher.retryBudget.withdraw(service)) this.#lacksBudget = true;
-      if (!isAllowed || this.#lacksBudget) {
+      const hasBudget = isAllowed && dispatcher.retryBudget.withdraw(service);
+      if (isAllowed) this.#lacksBudget = !hasBudget;
+      if (!hasBudget) {
         const reason = verdict === 'notRun' ? 'serverRefused' : attempt.kind;
         this.#endWithoutResponse(reason, verdict, otherRouterRetryAfter);
         return;
@@ -402,7 +403,11 @@
 
   /** Finds a server that takes over from one that is silent. */
   async #findReplacement(request: Request, signal: AbortSignal): Promise<Grant | undefined> {
-    const { retryBudget } = this.dependencies.dispatcher;
+    const { dispatcher, clock } = this.dependencies;
+    const { retryBudget } = dispatcher;
+    // A response that comes later than its caller waits is not sought; the silent server may still go on.
+    const waitsFrom = request.progressedAt ?? request.arrived;
+    if (clock.now() > waitsFrom + request.route.patience) return undefined;
     this.#lacksBudget = !retryBudget.allows(request.service);
     if (this.#lacksBudget) return undefined;
     try {
@@ -425,9 +430,15 @@
     const { server } = grant;
     const sentAt = clock.now();
     const silenceController = new AbortController();
-    const watch = SilenceWatch.create(options.findReplacement, () => {
-      silenceController.abort('silence');
-    });
+    const watch = SilenceWatch.create(
+      options.findReplacement,
+      () => {
+        silenceController.abort('silence');
+      },
+      () => {
+        grant.silent();
+      },
+    );
     const signal = this.#attemptSignal(route, silenceController.signal);
     const headers = encodeServerHeaders(this.request.headers, {
       server: server.id,
@@ -487,11 +498,15 @@
       discard: onDiscard,
       replacement: () => watch.replacement,
     };
-    const attempt = await this.#forwardResponse(options, outgoing, signal, callbacks);
-    watch.clear();
-    clearTimeout(discardTimer);
+    let attempt: AttemptOutcome | undefined;
+    try {
+      attempt = await this.#forwardResponse(options, outgoing, signal, callbacks);
+    } finally {
+      watch.clear();
+      clearTimeout(discardTimer);
+      if (attempt?.kind !== 'replaced') watch.replacement?.finish();
+    }
     if (attempt.kind === 'replaced') connections.retire(server);
-    else watch.replacement?.finish();
     grant.finish(serverOutcomeOf(attempt));
     this.#attemptLog.push({
       server: server.id,
--- a/packages/gateway/src/silenceWatch.test.ts
+++ b/packages/gateway/src/silenceWatch.test.ts
@@ -10,15 +10,17 @@
 /** Time in which a search that was begun has ended. */
 const searchTime = 60;
 
+const unused = (): void => undefined;
+
 /** A grant that records whether it was ended unused. */
 function grantOf(onFinish: () => void): Grant {
-  const unused = (): void => undefined;
   return {
     kind: 'server',
     predicted: 0,
     missing: 0,
     started: unused,
     progressed: unused,
+    silent: unused,
     finish: onFinish,
   } as unknown as Grant;
 }
@@ -31,9 +33,13 @@
     searches += 1;
     return Promise.resolve(undefined);
   };
-  const watch = SilenceWatch.create(search, () => {
-    isGivenUp = true;
-  });
+  const watch = SilenceWatch.create(
+    search,
+    () => {
+      isGivenUp = true;
+    },
+    unused,
+  );
   watch.expect(limit);
   await pause(searchTime);
   watch.clear();
@@ -51,9 +57,13 @@
     await pause(2 * limit);
     return found;
   };
-  const watch = SilenceWatch.create(search, () => {
-    isGivenUp = true;
-  });
+  const watch = SilenceWatch.create(
+    search,
+    () => {
+      isGivenUp = true;
+    },
+    unused,
+  );
   watch.expect(limit);
   await pause(2 * limit);
   watch.clear();
@@ -69,7 +79,7 @@
     searches += 1;
     return Promise.resolve(undefined);
   };
-  const watch = SilenceWatch.create(search, () => undefined);
+  const watch = SilenceWatch.create(search, unused, unused);
   watch.expect(limit);
   const end = performance.now() + 2 * limit;
   while (performance.now() < end);
--- a/packages/gateway/src/silenceWatch.ts
+++ b/packages/gateway/src/silenceWatch.ts
@@ -20,11 +20,15 @@
   private constructor(
     private readonly search: ServerSearch,
     private readonly giveUp: () => void,
+    private readonly onSilence: () => void,
   ) {}
 
-  /** `giveUp` is called once, when a server that takes over was found. */
-  static create(search: ServerSearch, giveUp: () => void): SilenceWatch {
-    return new SilenceWatch(search, giveUp);
+  /**
+   * `giveUp` is called once, when a server that takes over was found; `onSilence` whenever a time limit has passed and nothing has
+   * come.
+   */
+  static create(search: ServerSearch, giveUp: () => void, onSilence: () => void): SilenceWatch {
+    return new SilenceWatch(search, giveUp, onSilence);
   }
 
   /** The server that takes over; undefined unless `giveUp` was called. */
@@ -52,6 +56,7 @@
     this.#currentSearch = search;
     await nextTurn();
     if (this.#currentSearch !== search) return;
+    this.onSilence();
     const found = await this.search(search.signal);
     if (this.#currentSearch !== search) {
       found?.finish();
--- a/packages/standins/src/experiment/policy.ts
+++ b/packages/standins/src/experiment/policy.ts
@@ -90,6 +90,7 @@
       missing: 0,
       started: () => undefined,
       progressed: () => undefined,
+      silent: () => undefined,
       finish: (result) => {
         if (isFinished) return;
         isFinished = true;
