transport: join small pieces of a body in linear time, and pass large ones on as they are

Collected pieces were joined into one growing buffer after each 64, so that a body in pieces of one byte was copied some five hundred times over. Small pieces are joined once in blocks and once when they are read; a piece of 256 bytes or more is a part of its own.

--- a/packages/transport/src/exchange.ts
+++ b/packages/transport/src/exchange.ts
@@ -13,6 +13,8 @@
 const highWaterMark = 64 * 1024;
 /** Number of collected pieces that are joined into one, since a piece of a few bytes has a large memory overhead. */
 const maxCollectedPieces = 64;
+/** Size in bytes from which on copying a piece costs more than a part of its own. */
+const largePiece = 256;
 /** Maximum number of interim (1xx) responses before the final one. */
 const maxInterimResponses = 16;
 /**
@@ -56,8 +58,9 @@
   #decoder: StringDecoder | undefined;
   /** Events of the pieces that are being parsed. */
   #events: string[] = [];
-  /** Pieces of the body that the reader has not taken yet. */
+  /** Pieces of the body that the reader has not taken yet, and the small ones after them that are still to be joined. */
   #pieces: Buffer[] = [];
+  #smallPieces: Buffer[] = [];
   #queuedBytes = 0;
   #interimResponses = 0;
   #received: ReceivedBytes | undefined;
@@ -214,12 +217,14 @@
   }
 
   /**
-   * Pieces are collected into one part until the reader takes it: a part, and a pass of the event
-   * parser, cost far more than a piece of a few bytes.
+   * Small pieces are collected into one part until the reader takes it: a part, and a pass of the
+   * event parser, cost far more than a piece of a few bytes.
    */
   #collect(piece: Buffer): void {
-    this.#pieces.push(piece);
-    if (this.#pieces.length > maxCollectedPieces) this.#pieces = [Buffer.concat(this.#pieces)];
+    const isLarge = piece.byteLength >= largePiece;
+    if (isLarge) this.#joinSmallPieces();
+    (isLarge ? this.#pieces : this.#smallPieces).push(piece);
+    if (this.#smallPieces.length >= maxCollectedPieces) this.#joinSmallPieces();
     this.#wake?.();
   }
 
@@ -228,18 +233,30 @@
    * for the header.
    */
   #takePart(): ResponsePart | undefined {
-    const [first, ...others] = this.#pieces;
-    if (this.#queue[0]?.kind === 'head' || first === undefined) {
-      const part = this.#queue.shift();
-      if (this.#queue.length === 0 && first === undefined) this.#queuedBytes = 0;
-      return part;
-    }
-    this.#pieces = [];
-    this.#queuedBytes = 0;
-    const bytes = others.length === 0 ? first : Buffer.concat([first, ...others]);
+    if (this.#queue[0]?.kind === 'head' || !this.#hasPieces) return this.#queue.shift();
+    const bytes = this.#takePieces();
     return this.#parser === undefined ? { kind: 'bytes', bytes } : this.#parse(this.#parser, bytes);
   }
 
+  get #hasPieces(): boolean {
+    return this.#pieces.length > 0 || this.#smallPieces.length > 0;
+  }
+
+  #joinSmallPieces(): void {
+    if (this.#smallPieces.length > 0) this.#pieces.push(joined(this.#smallPieces));
+    this.#smallPieces = [];
+  }
+
+  /** The first piece if it is large, otherwise all pieces before the first large one. */
+  #takePieces(): Buffer {
+    this.#joinSmallPieces();
+    const large = this.#pieces.findIndex(({ byteLength }) => byteLength >= largePiece);
+    const count = large < 0 ? this.#pieces.length : Math.max(1, large);
+    const bytes = joined(this.#pieces.splice(0, count));
+    this.#queuedBytes -= bytes.byteLength;
+    return bytes;
+  }
+
   #parse(parser: EventSourceParser, bytes: Buffer): ResponsePart {
     parser.feed(this.#decoder?.write(bytes) ?? '');
     const data = this.#events;
@@ -276,7 +293,7 @@
 
   async #waitForPart(): Promise<void> {
     if (this.#controller?.paused === true) this.#controller.resume();
-    if (this.#queue.length > 0 || this.#pieces.length > 0) return;
+    if (this.#queue.length > 0 || this.#hasPieces) return;
     await new Promise<void>((resolve) => {
       this.#wake = resolve;
     });
@@ -300,3 +317,8 @@
   const code = 'code' in error && typeof error.code === 'string' ? ` (${error.code})` : '';
   return `${error.message.split('\n', 1)[0] ?? error.name}${code}`;
 }
+
+function joined(pieces: readonly Buffer[]): Buffer {
+  const [first] = pieces;
+  return first !== undefined && pieces.length === 1 ? first : Buffer.concat(pieces);
+}
