--- a/packages/standins/src/stack/fleet.ts
+++ b/packages/standins/src/stack/fleet.ts
@@ -17,6 +17,16 @@
   team: 'large',
 } as const;
 
+/** Bounds of the routers of a fleet, unless a test states others. */
+export const fleetBounds: Settings['bounds'] = {
+  grace: 4_000,
+  retryRatio: 0.2,
+  retryWindow: 10_000,
+  retrySlack: 54,
+  coldFactor: 1.5,
+  coldSlack: 5,
+};
+
 /** Header fields of a request to a model: a shared prompt part and one of its own. */
 export const modelFields = {
   model: 'm',
@@ -124,14 +134,7 @@
       seeds: first?.settings.listen.peers === undefined ? [] : [first.settings.listen.peers],
       isFirstStart: first === undefined,
       store: this.store.address,
-      bounds: {
-        grace: 4_000,
-        retryRatio: 0.2,
-        retryWindow: 10_000,
-        retrySlack: 54,
-        coldFactor: 1.5,
-        coldSlack: 5,
-      },
+      bounds: fleetBounds,
       ...changes,
     };
     const gateway = await Gateway.start(settings);
--- a/packages/standins/src/stack/replacement.test.ts
+++ b/packages/standins/src/stack/replacement.test.ts
@@ -6,17 +6,9 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import type { Settings } from '@catkinwheel/platform';
 import { call, type CallResult } from './caller.js';
-import { StackFleet, desiredStateOf, modelFields, names } from './fleet.js';
+import { StackFleet, desiredStateOf, fleetBounds, modelFields, names } from './fleet.js';
 import { streamLength } from './server.js';
 
-const bounds: Settings['bounds'] = {
-  grace: 4_000,
-  retryRatio: 0.2,
-  retryWindow: 10_000,
-  retrySlack: 54,
-  coldFactor: 1.5,
-  coldSlack: 5,
-};
 const timeLimit = 10_000;
 const eventPause = 300;
 /** Longer than the router waits for bytes before it looks for another server, shorter than callers wait: 2 s. */
@@ -28,7 +20,7 @@
   const fleet = await StackFleet.start();
   t.after(() => fleet.close());
   fleet.store.put('op', 'config', desiredStateOf(2, { routes: patientRoutes }));
-  await fleet.addRouter({ bounds: { ...bounds, ...changes } });
+  await fleet.addRouter({ bounds: { ...fleetBounds, ...changes } });
   await fleet.ready();
   for (const server of fleet.models) {
     server.eventPause = eventPause;
--- a/packages/standins/src/stack/silentServer.test.ts
+++ b/packages/standins/src/stack/silentServer.test.ts
@@ -6,7 +6,7 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import type { Settings } from '@catkinwheel/platform';
 import { call, type CallResult } from './caller.js';
-import { StackFleet, desiredStateOf, modelFields, names } from './fleet.js';
+import { StackFleet, desiredStateOf, fleetBounds, modelFields, names } from './fleet.js';
 import { streamLength } from './server.js';
 
 /** Longer than the router waits for bytes before it looks for another server, shorter than callers wait: 2 s. */
@@ -52,20 +52,11 @@
     .map(({ status, body }) => `${status} ${JSON.stringify(body.slice(-20))}`);
 }
 
-const bounds: Settings['bounds'] = {
-  grace: 4_000,
-  retryRatio: 0.2,
-  retryWindow: 10_000,
-  retrySlack: 54,
-  coldFactor: 1.5,
-  coldSlack: 5,
-};
-
 describe('a server that is silent for a while', () => {
   const cases: readonly (readonly [string, Settings['bounds'], number])[] = [
-    ['other servers are usable', bounds, 2],
-    ['the retry budget is used up', { ...bounds, retryRatio: 0, retrySlack: 0 }, 2],
-    ['no other server is registered', bounds, 1],
+    ['other servers are usable', fleetBounds, 2],
+    ['the retry budget is used up', { ...fleetBounds, retryRatio: 0, retrySlack: 0 }, 2],
+    ['no other server is registered', fleetBounds, 1],
   ];
   for (const [name, changed, servers] of cases) {
     describe(`while ${name}`, () => {
