--- a/packages/coordination/src/routing/coldStart.ts
+++ b/packages/coordination/src/routing/coldStart.ts
@@ -22,6 +22,14 @@
   readonly slack: number;
 }
 
+/** The part of a cold server's rate that one router has. */
+export interface ColdShare {
+  /** Requests that it may send in each period. */
+  readonly requests: number;
+  /** Number of routers that share the rate, as far as it knows. */
+  readonly routers: number;
+}
+
 /** Rate limiter of one router for cold servers. */
 export class ColdStartLimiter {
   readonly #sent = InstanceMap.create<readonly Milliseconds[]>();
@@ -53,6 +61,11 @@
     return this.#recent(server).length < this.#share(server, rate);
   }
 
+  /** By which share a request may be sent to the cold server; told in the log. */
+  shareOf(server: ServerInstance, rate: number): ColdShare {
+    return { requests: this.#share(server, rate), routers: this.routers().length };
+  }
+
   /** Counts a request that is sent to the cold server. */
   recordSent(server: ServerInstance): void {
     this.#sent.set(server, [...this.#recent(server), this.clock.now()]);
--- a/packages/coordination/src/routing/dispatcher.ts
+++ b/packages/coordination/src/routing/dispatcher.ts
@@ -10,7 +10,7 @@
   type Job,
   type ServerSnapshot,
 } from './admission.js';
-import { ColdStartLimiter, type ColdRateBound } from './coldStart.js';
+import { ColdStartLimiter, type ColdRateBound, type ColdShare } from './coldStart.js';
 import { EngineTiming } from './engineTiming.js';
 import { HoldOffs } from './holdOffs.js';
 import { PoisonGuard, type CrashEvidence, type PartChange } from './poisonGuard.js';
@@ -94,6 +94,8 @@
   readonly predicted: Milliseconds;
   /** Prompt tokens that the server has to prefill, since they are not in its prefix cache. */
   readonly missing: number;
+  /** The share of the server's rate that the request took, if the server was treated as cold. */
+  readonly coldShare?: ColdShare;
   /** Marks that the first event has arrived. */
   started(): void;
   /** Marks that bytes of a successful response have arrived. */
@@ -302,6 +304,11 @@
     return this.#reports.oldestAge();
   }
 
+  /** Tokens of service that the team has recently received in the whole fleet. */
+  received(team: string): number {
+    return this.#teamUsage.received(team) + this.#reports.received(team);
+  }
+
   /**
    * Fraction of the inference servers that could start one more request at once, as far as this router knows;
    * 1 if there are no inference servers.
@@ -379,21 +386,16 @@
       this.#summaryParts = [...this.#summaryParts, ...parts].slice(-maxSummaryParts);
   }
 
-  /** Tokens of service that the team has recently received in the whole fleet. */
-  #received(team: string): number {
-    return this.#teamUsage.received(team) + this.#reports.received(team);
-  }
-
   /** Tokens of service of the team that has recently received most in the whole fleet. */
   #mostReceived(): number {
     const own = this.#teamUsage.byTeam();
     const teams = new Set([...own.keys(), ...this.#reports.teams()]);
-    return Math.max(0, ...[...teams].map((team) => this.#received(team)));
+    return Math.max(0, ...[...teams].map((team) => this.received(team)));
   }
 
   /** A snapshot for one pass over the queue; lookups that many requests share are memoized. */
   #snapshot(): ServerSnapshot {
-    const received = memoized((team: string) => this.#received(team));
+    const received = memoized((team: string) => this.received(team));
     const usable = memoized((service: string) => this.#usableServers(service));
     let mostReceived: number | undefined;
     return {
@@ -445,7 +447,9 @@
     { unreadBefore, missing, inFlight, charge }: Reservation,
   ): void {
     const { clock } = this.options;
-    if (this.#hasColdRate(server)) this.#coldStart.recordSent(server);
+    const isCold = this.#hasColdRate(server);
+    const coldShare = isCold ? this.#coldStart.shareOf(server, service.coldRate) : undefined;
+    if (isCold) this.#coldStart.recordSent(server);
     if (request.prompt !== undefined && service.engine !== undefined)
       this.#unreportedParts.add(
         this.#prefixCaches.recordPrefill(server, service.engine.memory, request.prompt),
@@ -460,6 +464,7 @@
       server,
       predicted,
       missing,
+      ...(coldShare === undefined ? {} : { coldShare }),
       started: () => {
         if (startedAt !== undefined) return;
         startedAt = clock.now();
@@ -530,7 +535,7 @@
 
   #leastReceived(): ReadonlyMap<string, number> {
     const least = new Map<string, number>();
-    const received = memoized((team: string) => this.#received(team));
+    const received = memoized((team: string) => this.received(team));
     for (const [team, server] of this.#admission.queuedTeams())
       least.set(server, Math.min(least.get(server) ?? Infinity, received(team)));
     return least;
--- a/packages/coordination/src/routing/index.ts
+++ b/packages/coordination/src/routing/index.ts
@@ -30,6 +30,7 @@
 export * from './serverTable.js';
 export * from './serverHealth.js';
 export * from './serverInstance.js';
+export * from './teamCounts.js';
 export * from './teamUsage.js';
 export * from './timeBudgets.js';
 export * from './workTimer.js';
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -1,6 +1,6 @@
 // The outcome of one attempt at a server, what it says about the server's health, and how it is logged.
 
-import type { Grant, ServerOutcome } from '@catkinwheel/coordination/routing';
+import type { ColdShare, Grant, ServerOutcome } from '@catkinwheel/coordination/routing';
 import { isMisdirected } from '@catkinwheel/platform';
 
 /** Why this router ended an attempt. */
@@ -30,6 +30,10 @@
 /** The log entry of one attempt. Times in ms. */
 export interface AttemptLogEntry {
   readonly server: string;
+  /** Start time of the server that the router knew, in ms since 1970; left out if its registration had none. */
+  readonly born: number | undefined;
+  /** The share of its rate that the request took, if the router treated the server as cold. */
+  readonly cold: ColdShare | undefined;
   /** Predicted time to the first event or the response. */
   readonly predicted: number;
   /** Prompt tokens that the server does not have cached. */
--- a/packages/gateway/src/firstRequest.ts
+++ b/packages/gateway/src/firstRequest.ts
@@ -2,7 +2,7 @@
 // route who serves it. Parsing and serving the request costs several times as much.
 
 import type { Socket } from 'node:net';
-import { headerNames } from '@catkinwheel/platform';
+import { decodeKey, headerNames } from '@catkinwheel/platform';
 import type { Milliseconds } from '@catkinwheel/state';
 
 /** A head that is not complete by then is left to the HTTP parser, which enforces the header timeout. */
@@ -26,6 +26,8 @@
   readonly headers: { readonly host: string };
   /** The request id, empty if the request has none. */
   readonly id: string;
+  /** API key, which identifies the team; undefined if the caller sent none. */
+  readonly key: string | undefined;
 }
 
 /**
@@ -66,7 +68,8 @@
   const host = fieldOf(text, 'host');
   if (path === undefined || host === undefined || fieldOf(text, 'expect') !== undefined)
     return undefined;
-  return { path, headers: { host }, id: fieldOf(text, headerNames.requestId) ?? '' };
+  const id = fieldOf(text, headerNames.requestId) ?? '';
+  return { path, headers: { host }, id, key: decodeKey(fieldOf(text, headerNames.authorization)) };
 }
 
 /** The value of the field `name`, which contains letters and hyphens only; undefined if it is missing. */
--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -57,6 +57,7 @@
   readonly #longWaits = new WeakMap<Socket, Milliseconds>();
   readonly #connections = new WeakMap<Socket, CallerConnection>();
   #connectionCount = 0;
+  #acceptedCount = 0;
   #underWay = 0;
   #lastFinishedAt: Milliseconds;
 
@@ -115,6 +116,11 @@
     return this.#acceptQueue.wait;
   }
 
+  /** Connections accepted from callers since the start. */
+  get acceptedCount(): number {
+    return this.#acceptedCount;
+  }
+
   /** Requests in flight. */
   get underWay(): number {
     return this.#underWay;
@@ -129,6 +135,7 @@
   #accept(socket: Socket, probe: AcceptProbe): void {
     const { wait } = this.#acceptQueue;
     if (!probe.accept(socket)) return;
+    this.#acceptedCount += 1;
     const { isStopping } = this.dependencies.stops;
     if (exceedsWaitLimit(wait)) this.#longWaits.set(socket, wait);
     else if (!isStopping && this.handover.isActive()) {
@@ -156,7 +163,10 @@
     if (head !== undefined && route !== undefined && target !== undefined) {
       const answerBy = acceptedAt + route.timeout + answerMargin;
       const request = { bytes, id: head.id, answerBy };
-      if (await this.handover.tunnels.open(socket, request, target)) return;
+      if (await this.handover.tunnels.open(socket, request, target)) {
+        this.#countHandover(head.key);
+        return;
+      }
     }
     if (socket.destroyed) return;
     socket.unshift(bytes);
@@ -164,6 +174,12 @@
     socket.resume();
   }
 
+  #countHandover(key: string | undefined): void {
+    const { dispatcher, teamCounts } = this.dependencies;
+    const team = key === undefined ? undefined : dispatcher.table?.team(key);
+    if (team !== undefined) teamCounts.record(team.name, 'handedOver', undefined);
+  }
+
   /**
    * The route of a request that another router may serve. A request that may run only once depends on one router: its caller
    * cannot ask again if a second one fails. The same holds for a stream that cannot be resumed.
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -5,6 +5,7 @@
   Dispatcher,
   Members,
   PlannedStops,
+  TeamCounts,
   type StopBounds,
   WorkTimer,
   selectEntryRouters,
@@ -57,6 +58,8 @@
 const finalWaitFraction = 1 / 4;
 /** Interval of the periodic log lines about the load; an overloaded router stays so for several seconds. */
 const loadLogInterval: Milliseconds = 2_000;
+/** Max teams in one log line about what teams asked for. */
+const maxLoggedTeams = 12;
 /** Port of the metrics listener, relative to the first port for traffic between routers. */
 const metricsPortOffset = 10;
 /**
@@ -91,12 +94,15 @@
   readonly #eventLoopLag: EventLoopLag;
   readonly #workTimer: WorkTimer;
   readonly #stops: PlannedStops;
+  readonly #teamCounts = TeamCounts.create();
   /** Set once the planned stop has begun. */
   #stopping: Promise<void> | undefined;
   /** Whether new connections are handed over to other routers. */
   #isHandingOver = false;
   /** Event-loop times at the last log line about the load. */
   #loggedTimes: { readonly at: Milliseconds; readonly times: WorkTimes };
+  /** Connections accepted by then. */
+  #loggedAccepted = 0;
 
   private constructor(private settings: Settings) {
     const clock = this.#clock;
@@ -202,6 +208,7 @@
         faults,
         stops,
         bodyBudget: BodyBudget.create(settings.memory),
+        teamCounts: this.#teamCounts,
         isBehind: () => this.#eventLoopLag.isBehind,
         late: () => this.#eventLoopLag.late,
         random: Math.random,
@@ -305,6 +312,7 @@
     while (!signal.aborted) {
       await this.#clock.sleep(loadLogInterval, signal);
       this.#logLoad('load', this.#eventLoopLag.late);
+      this.#logTeams();
     }
   }
 
@@ -313,6 +321,7 @@
     const times = this.#workTimer.times();
     const since = this.#loggedTimes;
     this.#loggedTimes = { at: this.#clock.now(), times };
+    const { acceptedCount } = this.#frontend;
     this.#log.write(event, {
       late: Math.round(late),
       acceptWait: Math.round(this.#frontend.acceptWait),
@@ -321,11 +330,27 @@
       underWay: this.#frontend.underWay,
       waiting: this.#dispatcher.waiting,
       tunnels: this.#tunnels.openedCount,
+      accepted: acceptedCount - this.#loggedAccepted,
       span: Math.round(this.#clock.now() - since.at),
       datagrams: Math.round(times.datagrams - since.times.datagrams),
       queue: Math.round(times.queue - since.times.queue),
       arrivals: Math.round(times.arrivals - since.times.arrivals),
     });
+    this.#loggedAccepted = acceptedCount;
+  }
+
+  /** Logs what teams asked of this router lately and what became of it, with what they received in the whole fleet. */
+  #logTeams(): void {
+    const counts = this.#teamCounts.take(maxLoggedTeams);
+    if (counts.length === 0) return;
+    const teams = counts.map(({ team, requests, askedTokens, deliveredTokens }) => ({
+      team,
+      ...requests,
+      asked: askedTokens,
+      got: deliveredTokens,
+      received: Math.round(this.#dispatcher.received(team)),
+    }));
+    this.#log.write('teams', { teams });
   }
 
   #readCachedParts(): Promise<void> {
--- a/packages/gateway/src/requestHandler.ts
+++ b/packages/gateway/src/requestHandler.ts
@@ -13,8 +13,10 @@
   type Prompt,
   type Rejection,
   type Request,
+  type RequestOutcome,
   type Route,
   type Team,
+  type TeamCounts,
 } from '@catkinwheel/coordination/routing';
 import {
   decodeResponseHead,
@@ -90,6 +92,7 @@
   readonly stops: PlannedStops;
   /** Memory for request bodies. */
   readonly bodyBudget: BodyBudget;
+  readonly teamCounts: TeamCounts;
   /** Whether new requests are refused because the event loop has not caught up with earlier ones. */
   readonly isBehind: () => boolean;
   /** Event-loop lag of this router. */
@@ -184,6 +187,7 @@
   /** Refuses the request without reading its body, since its connection waited too long to be accepted. */
   refuseAfterAcceptWait(wait: Milliseconds): void {
     this.#acceptWait = wait;
+    this.#team = this.#teamOfKey();
     this.#refuse('behind', behindRetryAfter);
   }
 
@@ -231,6 +235,7 @@
     const limit = table?.state.limits.body ?? Infinity;
     const body = await readBody(this.request, limit, bodyBudget);
     if (body === 'gone') {
+      this.#team = this.#teamOfKey();
       this.#finish('left', 'unread');
       return;
     }
@@ -263,7 +268,7 @@
     }
     this.#route = route;
     if (table.state.teams !== undefined && !route.isPublic) {
-      this.#team = this.#head.key === undefined ? undefined : table.team(this.#head.key);
+      this.#team = this.#teamOfKey();
       if (this.#team === undefined) {
         this.#reject(statuses.unknownKey, 'unknownKey');
         return;
@@ -276,6 +281,12 @@
     await this.#tryServers(route, body);
   }
 
+  /** The team that holds the caller's key; undefined if it has none or an unknown one. */
+  #teamOfKey(): Team | undefined {
+    const { key } = this.#head;
+    return key === undefined ? undefined : this.dependencies.dispatcher.table?.team(key);
+  }
+
   /**
    * This router, or the one that holds the connection, may have to stop: the response is complete, or replaced by an error, before
    * the connection ends. A request that still waits for a server is judged anew.
@@ -510,6 +521,8 @@
     grant.finish(serverOutcomeOf(attempt));
     this.#attemptLog.push({
       server: server.id,
+      born: server.born,
+      cold: grant.coldShare,
       predicted: Math.round(grant.predicted),
       missing: grant.missing,
       at: Math.round(sentAt - this.#arrivedAt),
@@ -717,9 +730,11 @@
     this.#finish('failed', reason, verdict);
   }
 
-  #finish(outcome: string, reason?: string, verdict?: Verdict): void {
-    const { clock, log, metrics, dispatcher, late } = this.dependencies;
+  #finish(outcome: RequestOutcome | 'rejected', reason?: string, verdict?: Verdict): void {
+    const { clock, log, metrics, dispatcher, late, teamCounts } = this.dependencies;
     metrics.requests.inc({ outcome });
+    if (this.#team !== undefined && outcome !== 'rejected')
+      teamCounts.record(this.#team.name, outcome, this.#head.prompt);
     const route = this.#route;
     const basis = this.#basis;
     if (this.#firstByte !== undefined && route !== undefined)
