--- a/packages/coordination/src/routing/coldStart.test.ts
+++ b/packages/coordination/src/routing/coldStart.test.ts
@@ -60,3 +60,39 @@
   for (; router.allows(next, rate); sent += 1) router.recordSent(next);
   assert.ok(sent > 0 && sent <= maxRate, `${sent} requests`);
 });
+
+/** A fleet of six large VMs and 55 small ones. */
+const large = Array.from({ length: 6 }, (_, index) => `large-${index}`);
+const small = Array.from({ length: 55 }, (_, index) => `small-${index}`);
+const mixed = [...large, ...small];
+
+/** Requests that all routers may send at once to one cold server, if each knows the routers that `sharersOf` returns. */
+function sentAtOnce(id: string, sharersOf: (name: string) => readonly string[]): number {
+  const clock = Clock.manual(0);
+  const instance = server(id);
+  let sent = 0;
+  for (const name of mixed) {
+    const router = ColdStartLimiter.create(clock, bound, name, () => sharersOf(name));
+    for (; router.allows(instance, rate); sent += 1) router.recordSent(instance);
+  }
+  return sent;
+}
+
+const coldServers = Array.from({ length: 30 }, (_, index) => `server-${index}`);
+
+// Guards against FAILBACK of issue 42: each of 55 routers that callers are not sent to took a share of the rate that was divided
+// among six others.
+test('routers that are not among those that share the rate of a cold server send it nothing', () => {
+  for (const id of coldServers) {
+    const sent = sentAtOnce(id, () => large);
+    assert.ok(sent > 0 && sent <= maxRate, `${sent} requests at once`);
+  }
+});
+
+// Guards against FAILBACK when routers disagree on the sizes of VMs, and so on which routers share the rate.
+test('routers of which half know another division keep within the rate of a cold server', () => {
+  for (const id of coldServers) {
+    const sent = sentAtOnce(id, (name) => (mixed.indexOf(name) % 2 === 0 ? large : mixed));
+    assert.ok(sent > 0 && sent <= maxRate, `${sent} requests at once`);
+  }
+});
--- a/packages/coordination/src/routing/members.test.ts
+++ b/packages/coordination/src/routing/members.test.ts
@@ -1,5 +1,5 @@
 // Guards the election of store readers: calls of the store are charged for, so few routers should read, yet
-// readers may be cut off from it.
+// readers may be cut off from it. Guards the list of routers that share what the fleet may send.
 
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
@@ -77,3 +77,12 @@
   await clock.advance(60_000);
   assert.deepEqual(members.names(), ['own']);
 });
+
+// Guards against FAILBACK of issue 42: routers that had just started, each of which knew only itself, sent a cold server the whole rate
+// of the fleet each.
+test('a router that has not yet learned which routers there are has no part in what they share', () => {
+  const members = Members.create(Clock.manual(10_000), 'own', 1);
+  assert.deepEqual(members.entryRouters(), []);
+  members.register('other', { ip: '10.0.0.2', capacity: 1 });
+  assert.deepEqual(members.entryRouters(), []);
+});
--- a/packages/standins/src/stack/smallVm.test.ts
+++ b/packages/standins/src/stack/smallVm.test.ts
@@ -51,7 +51,7 @@
   small.pace(share);
   const capacity = await small.capacity(steadyCallers, 4_000);
   const rate = (burst * 1_000) / burstGap;
-  const result = await small.flood(rate, 3 * burstGap, burstGap);
+  const result = await small.flood(rate, 3 * burstGap, { gap: burstGap });
   const told = `${JSON.stringify(result)}, capacity ${capacity.toFixed(1)}/s`;
   t.diagnostic(told);
   assert.ok(
--- a/packages/standins/src/stack/smallVm.ts
+++ b/packages/standins/src/stack/smallVm.ts
@@ -41,6 +41,18 @@
   readonly late: number;
 }
 
+/** What the callers of a flood ask for. */
+export interface FloodRequest {
+  /** Time between two bursts; 0 if requests come evenly. */
+  readonly gap?: Milliseconds;
+  /** API key of their team. */
+  readonly key?: string;
+  readonly path?: string;
+}
+
+/** API key of a second team, which asks for less than the first one. */
+export const quietKey = 'key-of-quiet';
+
 /** A router of a small VM, a store and one server. */
 export class SmallVm {
   readonly #pacing = new AbortController();
@@ -143,14 +155,19 @@
    * Sends `rate` requests a second, each on a connection of its own, whatever becomes of those before: evenly, or those
    * of each `gap` at once.
    */
-  async flood(rate: number, duration: Milliseconds, gap: Milliseconds = 0): Promise<FloodResult> {
+  async flood(
+    rate: number,
+    duration: Milliseconds,
+    request: FloodRequest = {},
+  ): Promise<FloodResult> {
+    const { gap = 0 } = request;
     const start = performance.now();
     const results: Promise<'whole' | 'refused' | 'left' | 'late' | 'failed'>[] = [];
     while (performance.now() - start < duration) {
       const passed = performance.now() - start;
       const until = gap > 0 ? (Math.floor(passed / gap) + 1) * gap : passed;
       const due = (until * rate) / 1_000;
-      while (results.length < due) results.push(this.#callOrLeave());
+      while (results.length < due) results.push(this.#callOrLeave(request));
       await pause(1);
     }
     const all = await Promise.all(results);
@@ -212,7 +229,11 @@
       { name: names.model, warmupS: 0, coldPerS: 0, engine },
       { name: names.desk, warmupS: 0, coldPerS: 0 },
     ];
-    this.store.put('op', 'config', desiredStateOf(1, { services }));
+    const tenants = [
+      { name: names.team, apiKeys: [names.key] },
+      { name: 'quiet', apiKeys: [quietKey] },
+    ];
+    this.store.put('op', 'config', desiredStateOf(1, { services, tenants }));
   }
 
   async #pace(share: number): Promise<void> {
@@ -232,7 +253,10 @@
     return Number(/^\w*under_way (\d+)$/m.exec(metrics)?.[1]);
   }
 
-  async #callOrLeave(): Promise<'whole' | 'refused' | 'left' | 'late' | 'failed'> {
+  async #callOrLeave({
+    key,
+    path,
+  }: FloodRequest): Promise<'whole' | 'refused' | 'left' | 'late' | 'failed'> {
     const leaving = new AbortController();
     const id = this.#nextId();
     let leftAt: Milliseconds | undefined;
@@ -240,9 +264,10 @@
       leftAt = performance.now();
       leaving.abort();
     }, patience);
-    const answer = await this.#call(leaving.signal, id, () => {
+    const onHead = (): void => {
       clearTimeout(timer);
-    });
+    };
+    const answer = await this.#call(leaving.signal, id, onHead, undefined, path, key);
     clearTimeout(timer);
     if (leftAt !== undefined) {
       // What waits at the router is sent on later, if it is.
@@ -259,6 +284,7 @@
     onHead?: () => void,
     agent?: Agent,
     path = '/letters/1',
+    key: string = names.key,
   ): Promise<CallResult> {
     return call({
       address: this.router.callers,
@@ -266,7 +292,7 @@
       host: names.host,
       id,
       method: 'POST',
-      key: names.key,
+      key,
       body: requestBody,
       headers: modelFields,
       signal,
