--- a/packages/coordination/src/routing/coldStart.ts
+++ b/packages/coordination/src/routing/coldStart.ts
@@ -42,8 +42,8 @@
   ) {}
 
   /**
-   * `routers` returns the names of the routers that share the rate; a router that is not among them gets
-   * none.
+   * `routers` returns the names of the routers that share the rate. A router that is not among them sends nothing to cold
+   * servers.
    */
   static create(
     clock: Clock,
@@ -86,7 +86,8 @@
   #share({ id }: ServerInstance, rate: number): number {
     const total = Math.floor(usedFraction * (rate * this.bound.factor + this.bound.slack));
     const routers = this.routers();
-    if (routers.length <= total) return Math.floor(total / Math.max(1, routers.length));
+    if (!routers.includes(this.self)) return 0;
+    if (routers.length <= total) return Math.floor(total / routers.length);
     return ranking(id, routers).slice(0, total).includes(this.self) ? 1 : 0;
   }
 
--- a/packages/coordination/src/routing/dispatcher.ts
+++ b/packages/coordination/src/routing/dispatcher.ts
@@ -123,7 +123,7 @@
   readonly repeats: RetryBound;
   /** Names of all routers that may be running, this one included. */
   readonly routers: () => readonly string[];
-  /** Names of the routers that callers are sent to; the same on all routers. */
+  /** Names of the routers that callers are sent to; the same on all routers, empty while this one does not know them. */
   readonly entrances: () => readonly string[];
   /** Called when the result of an attempt changes the health of a server. */
   readonly onServer?: (server: string, change: HealthChange, failureRate: number) => void;
--- a/packages/coordination/src/routing/members.test.ts
+++ b/packages/coordination/src/routing/members.test.ts
@@ -85,4 +85,6 @@
   assert.deepEqual(members.entryRouters(), []);
   members.register('other', { ip: '10.0.0.2', capacity: 1 });
   assert.deepEqual(members.entryRouters(), []);
+  members.recordComplete();
+  assert.deepEqual(members.entryRouters(), ['own', 'other']);
 });
--- a/packages/coordination/src/routing/members.ts
+++ b/packages/coordination/src/routing/members.ts
@@ -54,6 +54,7 @@
 /** Other routers of the fleet, by name. */
 export class Members {
   readonly #heartbeats = new Map<string, LastHeartbeat>();
+  #isComplete = false;
   #readerRanking: { readonly key: string; readonly order: readonly string[] } | undefined;
   /** Other routers that may be running, by name. */
   readonly #registered = new Map<string, RegisteredRouter>();
@@ -97,6 +98,19 @@
     this.#registered.set(name, router);
   }
 
+  /**
+   * Records that all routers which were registered at some time since the start of this one have been added, from the store or
+   * from a router that has read them there.
+   */
+  recordComplete(): void {
+    this.#isComplete = true;
+  }
+
+  /** Whether this router knows the fleet, and not just the routers that it has met. */
+  get isComplete(): boolean {
+    return this.#isComplete;
+  }
+
   #hasRoom(name: string): boolean {
     return this.#registered.has(name) || this.#registered.size < maxRouters;
   }
@@ -151,9 +165,11 @@
   }
 
   /**
-   * Names of the routers that callers are sent to, silent ones included. Assumes that all of them are idle.
+   * Names of the routers that callers are sent to, silent ones included. Assumes that all of them are idle. Empty until this
+   * router knows the fleet: what these routers share would be divided among too few.
    */
   entryRouters(): readonly string[] {
+    if (!this.#isComplete) return [];
     const all = this.names().map((name) => {
       const capacity = this.#registered.get(name)?.capacity ?? this.capacity;
       return { name, capacity, used: 0 };
--- a/packages/gateway/src/peerState.ts
+++ b/packages/gateway/src/peerState.ts
@@ -11,7 +11,7 @@
   vmAddress,
   wholeNumber,
 } from '@catkinwheel/protocol';
-import { Codec, array, optional, string, tuple, type GetType } from 'purify-ts';
+import { Codec, array, boolean, optional, string, tuple, type GetType } from 'purify-ts';
 import type { Dispatcher, Members } from '@catkinwheel/coordination/routing';
 import { Agent } from 'undici';
 import { tableNames, type Changes, type StoreReplica } from './storeReplica.js';
@@ -35,6 +35,8 @@
   servers: changesCodec,
   /** Names, IP addresses and cores of registered routers. */
   routers: array(tuple([string, vmAddress, amount])),
+  /** Whether these are all registered routers; routers of earlier versions do not say. */
+  isComplete: optional(boolean),
   /** Servers, the prompt parts that they cache, and the parts' tokens; empty unless requested. */
   parts: array(tuple([string, string, tokenCount])),
 });
@@ -81,6 +83,7 @@
           [router, ip, capacity],
           ...[...members.registered()].map(([name, known]) => [name, known.ip, known.capacity]),
         ],
+        isComplete: members.isComplete,
         parts:
           context.req.query('parts') === undefined
             ? []
@@ -125,6 +128,7 @@
   #apply(state: GetType<typeof stateCodec>): void {
     const { dispatcher, storeReplica, members } = this.options;
     for (const [name, ip, capacity] of state.routers) members.register(name, { ip, capacity });
+    if (state.isComplete === true) members.recordComplete();
     for (const table of tableNames) {
       const { version, rows } = state[table];
       const changes: Changes = {
--- a/packages/gateway/src/registration.ts
+++ b/packages/gateway/src/registration.ts
@@ -48,6 +48,7 @@
         if (snapshot.isOk()) {
           for (const { key, value } of snapshot.value.rows)
             if (value !== undefined) this.#register(key, value);
+          this.options.members.recordComplete();
           log.write('registered', { routers: snapshot.value.rows.length });
           return;
         }
