--- a/packages/gateway/src/firstRequest.test.ts
+++ b/packages/gateway/src/firstRequest.test.ts
@@ -40,7 +40,12 @@
   caller.write(whole.slice(40));
   const [, first] = await accepted;
   assert.equal(first?.bytes.toString(), whole);
-  assert.deepEqual(first.head, { path: '/reads/1', headers: { host: 'desk.example' }, id: 'r-1' });
+  assert.deepEqual(first.head, {
+    path: '/reads/1',
+    headers: { host: 'desk.example' },
+    id: 'r-1',
+    key: undefined,
+  });
 });
 
 // A request that is not understood here is left to the HTTP parser of this router.
