--- a/packages/coordination/src/routing/dispatcher.ts
+++ b/packages/coordination/src/routing/dispatcher.ts
@@ -309,6 +309,13 @@
     return this.#teamUsage.received(team) + this.#reports.received(team);
   }
 
+  /** Tokens of service of the team that has recently received most in the whole fleet. */
+  mostReceived(): number {
+    const own = this.#teamUsage.byTeam();
+    const teams = new Set([...own.keys(), ...this.#reports.teams()]);
+    return Math.max(0, ...[...teams].map((team) => this.received(team)));
+  }
+
   /**
    * Fraction of the inference servers that could start one more request at once, as far as this router knows;
    * 1 if there are no inference servers.
@@ -386,13 +393,6 @@
       this.#summaryParts = [...this.#summaryParts, ...parts].slice(-maxSummaryParts);
   }
 
-  /** Tokens of service of the team that has recently received most in the whole fleet. */
-  #mostReceived(): number {
-    const own = this.#teamUsage.byTeam();
-    const teams = new Set([...own.keys(), ...this.#reports.teams()]);
-    return Math.max(0, ...[...teams].map((team) => this.received(team)));
-  }
-
   /** A snapshot for one pass over the queue; lookups that many requests share are memoized. */
   #snapshot(): ServerSnapshot {
     const received = memoized((team: string) => this.received(team));
@@ -400,7 +400,7 @@
     let mostReceived: number | undefined;
     return {
       received,
-      mostReceived: () => (mostReceived ??= this.#mostReceived()),
+      mostReceived: () => (mostReceived ??= this.mostReceived()),
       place: (job, ahead) => this.#place(job, ahead, usable(job.service), received(job.team)),
     };
   }
--- a/packages/coordination/src/routing/index.ts
+++ b/packages/coordination/src/routing/index.ts
@@ -15,6 +15,7 @@
 export * from './poisonGuard.js';
 export * from './poisonParts.js';
 export * from './prefixHomes.js';
+export * from './intake.js';
 export * from './loads.js';
 export * from './members.js';
 export * from './model.js';
--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -6,6 +6,7 @@
 import { createServer as createListener, type Server as Listener, type Socket } from 'node:net';
 import {
   AcceptQueue,
+  Intake,
   acceptBacklog,
   exceedsWaitLimit,
   type CallerLimits,
@@ -16,7 +17,8 @@
 import { CallerConnection } from './callerConnection.js';
 import { callerLeft } from './callerLeft.js';
 import { nextTurn } from './eventLoopTurn.js';
-import { readFirstRequest } from './firstRequest.js';
+import { readFirstRequest, type FirstHead, type FirstRequest } from './firstRequest.js';
+import { IntakeLoop } from './intakeLoop.js';
 import {
   RequestHandler,
   hostOf,
@@ -44,6 +46,13 @@
   readonly selectTarget: () => Endpoint | undefined;
 }
 
+/** Work of handing a connection over, as a fraction of that of serving a request. */
+const handoverWork = 1 / 8;
+
+/** What the intake has decided on a request. */
+type Decision =
+  { readonly kind: 'begun' } | { readonly kind: 'refused'; readonly retryAfter: Milliseconds };
+
 /** Accepts callers' connections and serves each request with a `RequestHandler`. */
 export class Frontend {
   /** Accepts callers' connections. */
@@ -56,6 +65,9 @@
   /** Wait in the accept queue of connections that waited too long, until their first request. */
   readonly #longWaits = new WeakMap<Socket, Milliseconds>();
   readonly #connections = new WeakMap<Socket, CallerConnection>();
+  readonly #intake: IntakeLoop;
+  /** What was decided on the first request of a connection before it was parsed. */
+  readonly #decided = new WeakMap<Socket, Decision>();
   #connectionCount = 0;
   #acceptedCount = 0;
   #underWay = 0;
@@ -67,6 +79,7 @@
     private readonly handover: Handover,
   ) {
     this.#lastFinishedAt = dependencies.clock.now();
+    this.#intake = IntakeLoop.create(Intake.create(dependencies.clock, dependencies.dispatcher));
     this.#server = createServer(
       {
         connectionsCheckingInterval: checkInterval,
@@ -136,10 +149,11 @@
     const { wait } = this.#acceptQueue;
     if (!probe.accept(socket)) return;
     this.#acceptedCount += 1;
+    this.#intake.recordAccepted();
     const { isStopping } = this.dependencies.stops;
     if (exceedsWaitLimit(wait)) this.#longWaits.set(socket, wait);
     else if (!isStopping && this.handover.isActive()) {
-      void this.#handOverOrServe(socket);
+      void this.#readAndDecide(socket);
       return;
     }
     this.#serveConnection(socket);
@@ -150,12 +164,28 @@
     this.#server.emit('connection', socket);
   }
 
-  /** Hands the connection over to another router if its first request may run there; otherwise serves it here. */
-  async #handOverOrServe(socket: Socket): Promise<void> {
-    const { clock, stops } = this.dependencies;
-    const acceptedAt = clock.now();
+  /** Reads the first request of a connection, which waits for processor time before it is parsed. */
+  async #readAndDecide(socket: Socket): Promise<void> {
+    const acceptedAt = this.dependencies.clock.now();
     const first = await readFirstRequest(socket);
     if (first === undefined) return;
+    const { head } = first;
+    this.#intake.add({
+      team: this.#teamOf(head),
+      earlier: 0,
+      begin: () => (socket.destroyed ? 0 : this.#handOverOrServe(socket, first, acceptedAt)),
+      refuse: (retryAfter) => {
+        this.#serveRead(socket, first, { kind: 'refused', retryAfter });
+      },
+    });
+  }
+
+  /**
+   * Hands the connection over to another router if its first request may run there; otherwise serves it here. Returns the work of
+   * that.
+   */
+  #handOverOrServe(socket: Socket, first: FirstRequest, acceptedAt: Milliseconds): number {
+    const { stops } = this.dependencies;
     const { bytes, head } = first;
     const route = head === undefined ? undefined : this.#routeToHandOver(head, head.path);
     const target =
@@ -163,21 +193,33 @@
     if (head !== undefined && route !== undefined && target !== undefined) {
       const answerBy = acceptedAt + route.timeout + answerMargin;
       const request = { bytes, id: head.id, answerBy };
-      if (await this.handover.tunnels.open(socket, request, target)) {
-        this.#countHandover(head.key);
-        return;
-      }
+      void this.handover.tunnels.open(socket, request, target).then((isOpen) => {
+        if (isOpen) this.#countHandover(head);
+        else this.#serveRead(socket, first, { kind: 'begun' });
+      });
+      return handoverWork;
     }
+    this.#serveRead(socket, first, { kind: 'begun' });
+    return 1;
+  }
+
+  /** Serves a connection whose first bytes have been read. */
+  #serveRead(socket: Socket, { bytes }: FirstRequest, decision: Decision): void {
     if (socket.destroyed) return;
+    this.#decided.set(socket, decision);
     socket.unshift(bytes);
     this.#serveConnection(socket);
     socket.resume();
   }
 
-  #countHandover(key: string | undefined): void {
-    const { dispatcher, teamCounts } = this.dependencies;
-    const team = key === undefined ? undefined : dispatcher.table?.team(key);
-    if (team !== undefined) teamCounts.record(team.name, 'handedOver', undefined);
+  #teamOf(head: FirstHead | undefined): string {
+    if (head?.key === undefined) return '';
+    return this.dependencies.dispatcher.table?.team(head.key)?.name ?? '';
+  }
+
+  #countHandover(head: FirstHead): void {
+    const team = this.#teamOf(head);
+    if (team !== '') this.dependencies.teamCounts.record(team, 'handedOver', undefined);
   }
 
   /**
@@ -232,13 +274,39 @@
       handler.refuseAfterAcceptWait(wait);
       return;
     }
+    const decision = this.#decided.get(socket);
+    this.#decided.delete(socket);
     this.#underWay += 1;
     dependencies.metrics.underWay.inc();
-    void this.#run(handler, request, info).then(() => {
+    const finish = (): void => {
       this.#underWay -= 1;
       this.#lastFinishedAt = dependencies.clock.now();
       dependencies.metrics.underWay.dec();
-    });
+    };
+    const begin = (): number => {
+      const work = request.destroyed ? 0 : 1;
+      void this.#run(handler, request, info).then(finish);
+      return work;
+    };
+    const refuse = (retryAfter: Milliseconds): void => {
+      handler.refuseForProcessorTime(retryAfter);
+      finish();
+    };
+    switch (decision?.kind) {
+      case 'begun':
+        begin();
+        return;
+      case 'refused':
+        refuse(decision.retryAfter);
+        return;
+      case undefined:
+        this.#intake.add({
+          team: handler.team,
+          earlier: connection.requests - 1,
+          begin,
+          refuse,
+        });
+    }
   }
 
   async #run(
--- a/packages/gateway/src/requestHandler.ts
+++ b/packages/gateway/src/requestHandler.ts
@@ -184,6 +184,17 @@
     return this.#head.id;
   }
 
+  /** Name of the team that holds the caller's key; empty if there is none. */
+  get team(): string {
+    return this.#teamOfKey()?.name ?? '';
+  }
+
+  /** Refuses the request without reading its body, since this router has no processor time for it. */
+  refuseForProcessorTime(retryAfter: Milliseconds): void {
+    this.#team = this.#teamOfKey();
+    this.#refuse('processorTime', retryAfter);
+  }
+
   /** Refuses the request without reading its body, since its connection waited too long to be accepted. */
   refuseAfterAcceptWait(wait: Milliseconds): void {
     this.#acceptWait = wait;
