--- a/packages/coordination/src/routing/index.ts
+++ b/packages/coordination/src/routing/index.ts
@@ -16,6 +16,7 @@
 export * from './poisonParts.js';
 export * from './prefixHomes.js';
 export * from './intake.js';
+export * from './intakeTurns.js';
 export * from './loads.js';
 export * from './members.js';
 export * from './model.js';
--- /dev/null
+++ b/packages/coordination/src/routing/intakeTurns.test.ts
@@ -0,0 +1,55 @@
+// Load pattern: more connections come in than an event loop has turns, since each turn serves a request.
+
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { Milliseconds } from '@catkinwheel/state';
+import { IntakeTurns } from './intakeTurns.js';
+
+/** Time that a turn takes to accept and read a connection, and to serve a request; of a third of a core. */
+const reading: Milliseconds = 1;
+const serving: Milliseconds = 15;
+
+/** The longest wait of a connection to be read, and the requests begun, in ten seconds of `rate` connections a second. */
+function play(rate: number): { readonly longestWait: Milliseconds; readonly begun: number } {
+  const turns = IntakeTurns.create();
+  let [now, read, pending, begun, longestWait] = [0, 0, 0, 0, 0];
+  while (now < 10_000) {
+    const arrived = (read * 1_000) / rate;
+    const isReading = arrived <= now;
+    if (isReading) {
+      longestWait = Math.max(longestWait, now - arrived);
+      turns.recordAccepted();
+      read += 1;
+      pending += 1;
+    }
+    const begins = turns.end() && pending > 0;
+    if (begins) {
+      begun += 1;
+      pending -= 1;
+    }
+    now += Number(isReading) * reading + Number(begins) * serving;
+    if (!isReading && !begins) now += 1;
+  }
+  return { longestWait, begun };
+}
+
+// Guards against FAIR of issue 42: a router that served a request in each turn read four connections a second, which had waited for
+// more than 3 s.
+test('connections that come several times as fast as requests are served are read at once', () => {
+  const { longestWait, begun } = play(250);
+  assert.ok(longestWait <= 200, `${longestWait} ms`);
+  assert.ok(begun >= 300, `${begun} requests begun`);
+});
+
+test('requests are begun however many connections come', () => {
+  const { begun } = play(2_000);
+  assert.ok(begun >= 300, `${begun} requests begun`);
+});
+
+test('a turn without a new connection begins a request', () => {
+  const turns = IntakeTurns.create();
+  assert.ok(turns.end());
+  turns.recordAccepted();
+  assert.ok(!turns.end());
+  assert.ok(turns.end());
+});
--- a/packages/gateway/src/faults.ts
+++ b/packages/gateway/src/faults.ts
@@ -7,6 +7,7 @@
 /** What the router was doing when an exception was thrown. */
 export type FaultActivity =
   | 'request'
+  | 'intake'
   | 'queue'
   | 'tick'
   | 'datagram'
--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -79,7 +79,8 @@
     private readonly handover: Handover,
   ) {
     this.#lastFinishedAt = dependencies.clock.now();
-    this.#intake = IntakeLoop.create(Intake.create(dependencies.clock, dependencies.dispatcher));
+    const { clock, dispatcher, faults } = dependencies;
+    this.#intake = IntakeLoop.create(Intake.create(clock, dispatcher), faults);
     this.#server = createServer(
       {
         connectionsCheckingInterval: checkInterval,
--- a/packages/gateway/src/intakeLoop.ts
+++ b/packages/gateway/src/intakeLoop.ts
@@ -1,12 +1,8 @@
-// Takes requests from the intake in turns of the event loop. A turn accepts one connection, however many wait in the operating
-// system, and lasts as long as all work in it. So a turn begins the work of one request at most, and none while connections are
-// coming in, up to a number of them: what has not been read cannot be put in order.
+// Begins or refuses the requests of an intake in turns of this process's event loop.
 
-import type { Intake, WaitingRequest } from '@catkinwheel/coordination/routing';
+import { IntakeTurns, type Intake, type WaitingRequest } from '@catkinwheel/coordination/routing';
 import type { Milliseconds } from '@catkinwheel/state';
-
-/** Connections that are accepted for each request that is begun, if so many come. Refusing one costs a fraction of serving one. */
-const acceptedPerBegin = 8;
+import type { Faults } from './faults.js';
 
 /** A request that can be begun or refused. */
 export interface PendingRequest extends WaitingRequest {
@@ -15,30 +11,33 @@
   readonly refuse: (retryAfter: Milliseconds) => void;
 }
 
-/** Begins the requests of an intake. */
+/** Runs an intake. */
 export class IntakeLoop {
+  readonly #turns = IntakeTurns.create();
   #isScheduled = false;
-  /** Connections accepted in this turn, and since a request was begun last. */
-  #acceptedNow = 0;
-  #accepted = 0;
 
-  private constructor(private readonly intake: Intake<PendingRequest>) {}
+  private constructor(
+    private readonly intake: Intake<PendingRequest>,
+    private readonly faults: Faults,
+  ) {}
 
-  static create(intake: Intake<PendingRequest>): IntakeLoop {
-    return new IntakeLoop(intake);
+  static create(intake: Intake<PendingRequest>, faults: Faults): IntakeLoop {
+    return new IntakeLoop(intake, faults);
   }
 
   /** Counts a connection that was accepted in this turn. */
   recordAccepted(): void {
-    this.#acceptedNow += 1;
-    this.#accepted += 1;
+    this.#turns.recordAccepted();
   }
 
   /** Has the request begun or refused. */
   add(request: PendingRequest): void {
     const refused = this.intake.add(request);
     const retryAfter = this.intake.retryAfter();
-    for (const each of refused) each.refuse(retryAfter);
+    for (const each of refused)
+      this.faults.contain('intake', () => {
+        each.refuse(retryAfter);
+      });
     this.#schedule();
   }
 
@@ -47,19 +46,16 @@
     this.#isScheduled = true;
     setImmediate(() => {
       this.#isScheduled = false;
-      try {
-        this.#turn();
-      } finally {
-        this.#schedule();
-      }
+      if (this.#turns.end())
+        this.faults.contain('intake', () => {
+          this.#begin();
+        });
+      this.#schedule();
     });
   }
 
-  #turn(): void {
-    const areMoreComing = this.#acceptedNow > 0 && this.#accepted < acceptedPerBegin;
-    this.#acceptedNow = 0;
-    if (areMoreComing) return;
-    this.#accepted = 0;
+  /** Begins requests that are the work of one. */
+  #begin(): void {
     for (let work = 0; work < 1;) {
       const next = this.intake.next();
       if (next === undefined) return;
