--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -193,8 +193,9 @@
       stops,
       storeAge: () => this.#storeReader.age(),
       used: () => this.#cpuUsage.usedCores(),
-      onNewerVersions: (peer) => {
-        faults.watch('peerState', this.#peerState.fetch(this.#peerAddress(peer)));
+      onNewerVersions: (peer, versions) => {
+        const address = this.#peerAddress(peer);
+        faults.watch('peerState', this.#peerState.fetchNewer(address, versions));
       },
     });
     this.#tunnels = Tunnels.create(clock, log);
--- a/packages/gateway/src/gossip.ts
+++ b/packages/gateway/src/gossip.ts
@@ -22,6 +22,7 @@
 import type { Clock, Milliseconds } from '@catkinwheel/state';
 import { Codec, array, boolean, nullable, optional, string, tuple, type GetType } from 'purify-ts';
 import { decodeEvidence, encodeEvidence, evidenceCodec } from './crashEvidence.js';
+import type { TableVersions } from './peerState.js';
 import { tableNames, type StoreReplica } from './storeReplica.js';
 import type { Faults } from './faults.js';
 import type { Log } from './log.js';
@@ -107,7 +108,7 @@
       /** Cores in use. */
       readonly used: () => number;
       /** Called when the router at `ip` has newer table versions than this one. */
-      readonly onNewerVersions: (ip: string) => void;
+      readonly onNewerVersions: (ip: string, versions: TableVersions) => void;
     },
   ) {
     this.#socket = createSocket('udp4');
@@ -312,7 +313,7 @@
       if (reporter.kind === 'dataCentre' && isDirect && representatives !== undefined)
         for (const peer of directPeers) if (this.#isDue(peer)) this.#sendTo(peer.ip, bytes);
     }
-    if (isNewer(message, storeReplica)) onNewerVersions(from);
+    if (isNewer(message, storeReplica)) onNewerVersions(from, message);
   }
 
   /** Records that this router or another one received a heartbeat of the member `age` ago. */
--- a/packages/gateway/src/peerState.ts
+++ b/packages/gateway/src/peerState.ts
@@ -14,7 +14,7 @@
 import { Codec, array, boolean, optional, string, tuple, type GetType } from 'purify-ts';
 import type { Dispatcher, Members } from '@catkinwheel/coordination/routing';
 import { Agent } from 'undici';
-import { tableNames, type Changes, type StoreReplica } from './storeReplica.js';
+import { tableNames, type Changes, type StoreReplica, type TableName } from './storeReplica.js';
 import type { Log } from './log.js';
 
 const path = '/state';
@@ -24,6 +24,19 @@
 const maxResponseBytes = 16 * 1024 * 1024;
 /** Shortest time between two requests to one router. */
 const minRequestInterval: Milliseconds = 30;
+/** Shortest time between two requests for newer rows, which then bring all rows that have changed meanwhile. */
+const minNewerInterval: Milliseconds = 100;
+/** A router that has not sent newer rows by then is waited for no longer before another one is asked. */
+const newerPatience: Milliseconds = 150;
+
+/** Versions of a router's tables. */
+export type TableVersions = Readonly<Record<TableName, number>>;
+
+/** A router that has said that its tables are newer. */
+interface NewerPeer {
+  readonly address: string;
+  readonly versions: TableVersions;
+}
 
 const changesCodec = Codec.interface({
   version: wholeNumber,
@@ -48,6 +61,9 @@
   #hasCachedParts = false;
   /** Addresses with a request in flight, or one that ended less than `minRequestInterval` ago. */
   readonly #recentlyRequested = new Set<string>();
+  /** The last router heard of with newer tables that has not been asked for them. */
+  #newerPeer: NewerPeer | undefined;
+  #isFetchingNewer = false;
 
   private constructor(
     private readonly options: {
@@ -94,6 +110,35 @@
     });
   }
 
+  /**
+   * Fetches the rows of a router whose tables are newer, if no other one has sent them before. All routers of a data centre
+   * tell of each change at about the same time, so one of them is asked at a time. Resolves when none is left to ask.
+   */
+  async fetchNewer(address: string, versions: TableVersions): Promise<void> {
+    this.#newerPeer = { address, versions };
+    if (this.#isFetchingNewer) return;
+    this.#isFetchingNewer = true;
+    const { clock } = this.options;
+    try {
+      for (let peer = this.#takeNewerPeer(); peer !== undefined; peer = this.#takeNewerPeer()) {
+        await Promise.race([this.fetch(peer.address), clock.sleep(newerPatience)]);
+        await clock.sleep(minNewerInterval);
+      }
+    } finally {
+      this.#isFetchingNewer = false;
+    }
+  }
+
+  #takeNewerPeer(): NewerPeer | undefined {
+    const peer = this.#newerPeer;
+    this.#newerPeer = undefined;
+    const { storeReplica } = this.options;
+    const isNewer = tableNames.some((table) => {
+      return (peer?.versions[table] ?? 0) > storeReplica.version(table);
+    });
+    return isNewer ? peer : undefined;
+  }
+
   /** Fetches newer rows from the router at `address`, `host:port`. Failures are logged. */
   async fetch(address: string): Promise<void> {
     if (this.#recentlyRequested.has(address)) return;
