--- a/packages/coordination/src/routing/gossipTopology.ts
+++ b/packages/coordination/src/routing/gossipTopology.ts
@@ -101,6 +101,18 @@
   return a.capacity === b.capacity ? a.name < b.name : a.capacity > b.capacity;
 }
 
+/**
+ * Whether a router tells others of a change of its tables at once: where it has read the change in the store, and where it
+ * represents its data centre. All others would tell routers that have heard of it, and their datagrams would grow with the
+ * square of the number of routers at each change.
+ */
+export function spreadsChange(
+  { isHierarchical, representatives }: GossipTopology,
+  isFromStore: boolean,
+): boolean {
+  return isFromStore || (isHierarchical && representatives !== undefined);
+}
+
 /** Time between two gossip rounds of a router; `isIdle` if it has no requests. */
 export function gossipInterval(topology: GossipTopology, isIdle: boolean): Milliseconds {
   const { directPeers, isHierarchical, representatives } = topology;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -29,7 +29,7 @@
 import { Gossip } from './gossip.js';
 import { Faults } from './faults.js';
 import { Frontend } from './frontend.js';
-import { StoreReplica } from './storeReplica.js';
+import { StoreReplica, type Source } from './storeReplica.js';
 import { CachedPartsReader } from './cachedPartsReader.js';
 import { nextTurn } from './eventLoopTurn.js';
 import { EventLoopLag } from './eventLoopLag.js';
@@ -282,8 +282,8 @@
       firstStart: settings.isFirstStart,
       node: process.version,
     });
-    this.#storeReplica.onChange(() => {
-      this.#onTableChange();
+    this.#storeReplica.onChange((source) => {
+      this.#onTableChange(source);
     });
     await Promise.all([
       this.#gossip.listen(),
@@ -462,11 +462,11 @@
     return !this.#stops.isStopping && this.#dispatcher.table !== undefined;
   }
 
-  #onTableChange(): void {
+  #onTableChange(source: Source): void {
     const limits = this.#dispatcher.table?.state.limits;
     if (limits !== undefined) this.#frontend.limit(limits);
     this.#connections.retireExcept(this.#dispatcher.servers.all());
-    this.#gossip.send(true);
+    this.#gossip.tellOfChange(source);
   }
 
   #peerAddress(ip: string): string {
--- a/packages/gateway/src/gossip.ts
+++ b/packages/gateway/src/gossip.ts
@@ -6,6 +6,7 @@
 import {
   probesSilentPeer,
   acceptsReport,
+  spreadsChange,
   includesIdlePeers,
   gossipTopologyOf,
   gossipInterval,
@@ -23,7 +24,7 @@
 import { Codec, array, boolean, nullable, optional, string, tuple, type GetType } from 'purify-ts';
 import { decodeEvidence, encodeEvidence, evidenceCodec } from './crashEvidence.js';
 import type { TableVersions } from './peerState.js';
-import { tableNames, type StoreReplica } from './storeReplica.js';
+import { tableNames, type Source, type StoreReplica } from './storeReplica.js';
 import type { Faults } from './faults.js';
 import type { Log } from './log.js';
 
@@ -78,6 +79,9 @@
 
 type Message = GetType<typeof messageCodec>;
 
+/** Shortest time between two datagrams to a router about changes of the tables; what changes meanwhile is told together. */
+const minChangeInterval: Milliseconds = 50;
+
 /** Sends and receives the gossip of one router. */
 export class Gossip {
   readonly #socket: Socket;
@@ -88,6 +92,9 @@
   /** Whether the current round includes idle routers. */
   #includesIdle = true;
   #lastIdleRound: Milliseconds = -Infinity;
+  #isChangePending = false;
+  #isClosed = false;
+  #lastChange: Milliseconds = -Infinity;
 
   private constructor(
     private readonly options: {
@@ -150,6 +157,7 @@
       this.send(false);
       await clock.sleep(interval, signal);
     }
+    this.#isClosed = true;
     this.#socket.close();
   }
 
@@ -159,6 +167,20 @@
     this.send(true);
   }
 
+  /** Tells other routers of a change of the tables, if they may not hear of it otherwise. */
+  tellOfChange(source: Source): void {
+    if (this.#isChangePending || !spreadsChange(this.#topology, source === 'store')) return;
+    this.#isChangePending = true;
+    const { clock, faults } = this.options;
+    const wait = Math.max(0, this.#lastChange + minChangeInterval - clock.now());
+    const told = (wait > 0 ? clock.sleep(wait) : Promise.resolve()).then(() => {
+      this.#isChangePending = false;
+      this.#lastChange = clock.now();
+      if (!this.#isClosed) this.send(true);
+    });
+    faults.watch('datagram', told);
+  }
+
   /**
    * Sends the state of this router to its direct peers, and the sum of its data centre if it is the representative. Unless
    * `isUrgent`, idle routers of a large fleet are sent to at a lower rate. Never throws.
--- a/packages/gateway/src/storeReplica.ts
+++ b/packages/gateway/src/storeReplica.ts
@@ -55,7 +55,7 @@
   };
   #lastContact: Milliseconds;
   #availableSince = -Infinity;
-  #onChange: () => void = () => undefined;
+  #onChange: (source: Source) => void = () => undefined;
 
   private constructor(
     private readonly clock: Clock,
@@ -71,7 +71,7 @@
   }
 
   /** Sets the listener to call after each change of a table; it replaces the one set before. */
-  onChange(listener: () => void): void {
+  onChange(listener: (source: Source) => void): void {
     this.#onChange = listener;
   }
 
@@ -115,7 +115,9 @@
       if (table === 'operators') this.#applyOperators(copy, source);
       else this.#applyServers(copy, source, changed.length);
     });
-    this.faults.contain('table', this.#onChange);
+    this.faults.contain('table', () => {
+      this.#onChange(source);
+    });
   }
 
   /** Applies the desired state and the set of data centres that are out of service. */
