--- a/packages/coordination/src/routing/intake.ts
+++ b/packages/coordination/src/routing/intake.ts
@@ -24,7 +24,7 @@
 
 /** Longest wait for processor time, of the last request in order. */
 const maxWait: Milliseconds = 600;
-/** The same where requests have been waiting for `standingTime` without a break, so that more is asked than can be served. */
+/** The same where requests have been waiting for `standingTime` without a break. */
 const maxStandingWait: Milliseconds = 200;
 const standingTime: Milliseconds = 300;
 /** Weight of the latest interval between two requests in the average. */
@@ -64,6 +64,11 @@
     return this.#waiting.length;
   }
 
+  /** Whether requests have been waiting without a break for longer than a burst takes, so that more is asked than can be served. */
+  get isStanding(): boolean {
+    return this.#standing() >= standingTime;
+  }
+
   /** Adds a request. Returns those to be refused, which may include it: the last in order that would wait for too long. */
   add(request: Waiting): readonly Waiting[] {
     this.#waiting = [...this.#waiting, request];
@@ -110,7 +115,7 @@
 
   /** Requests that can be begun in time; one in any case. */
   #maxLength(): number {
-    const wait = this.#standing() < standingTime ? maxWait : maxStandingWait;
+    const wait = this.isStanding ? maxStandingWait : maxWait;
     return Math.max(1, Math.floor(wait / (this.#interval ?? 0)));
   }
 
--- a/packages/coordination/src/routing/intakeTurns.test.ts
+++ b/packages/coordination/src/routing/intakeTurns.test.ts
@@ -22,7 +22,7 @@
       read += 1;
       pending += 1;
     }
-    const begins = turns.end() && pending > 0;
+    const begins = turns.end() > 0 && pending > 0;
     if (begins) {
       begun += 1;
       pending -= 1;
@@ -48,8 +48,16 @@
 
 test('a turn without a new connection begins a request', () => {
   const turns = IntakeTurns.create();
-  assert.ok(turns.end());
+  assert.equal(turns.end(), 1);
   turns.recordAccepted();
-  assert.ok(!turns.end());
-  assert.ok(turns.end());
+  assert.equal(turns.end(), 0);
+  assert.equal(turns.end(), 1);
+});
+
+// Guards against a router that does nothing but refuse callers which ask again at once on connections that they keep.
+test('a turn that reads many requests on kept connections begins a part of them', () => {
+  const turns = IntakeTurns.create();
+  for (let index = 0; index < 100; index += 1) turns.recordRead();
+  assert.equal(turns.end(), 12);
+  assert.equal(turns.end(), 1);
 });
--- a/packages/coordination/src/routing/intakeTurns.ts
+++ b/packages/coordination/src/routing/intakeTurns.ts
@@ -1,16 +1,16 @@
-// Divides the turns of an event loop between reading new connections and serving requests. Load pattern: more connections come in
-// than there are turns. A turn accepts one connection, however many wait in the operating system, and lasts as long as all work
-// in it. So a turn begins one request at most, and none while connections are coming in, up to a number of them: what has not been
-// read cannot be put in order.
+// Divides the turns of an event loop between reading requests and serving them. Load pattern: more connections come in than there
+// are turns, or callers on kept connections ask again as soon as they are refused. A turn accepts one connection, however many wait
+// in the operating system, reads all kept ones, and lasts as long as all work in it. So a turn begins few requests, and none while
+// connections are coming in: what has not been read cannot be put in order. What is read bounds what is begun and the other way round.
 
-/** Connections that are accepted for each request that is begun, if so many come. Refusing one costs a fraction of serving one. */
-const acceptedPerBegin = 8;
+/** Requests that are read for each one that is begun, if so many come. Refusing one costs a fraction of serving one. */
+const readPerBegin = 8;
 
 /** The turns of one event loop. */
 export class IntakeTurns {
-  /** Connections accepted in this turn, and since a request was begun last. */
-  #acceptedNow = 0;
-  #accepted = 0;
+  #isAccepting = false;
+  /** Requests read since one was begun last. */
+  #read = 0;
 
   private constructor() {
     // Instances come from `create`.
@@ -20,18 +20,24 @@
     return new IntakeTurns();
   }
 
-  /** Counts a connection that was accepted in this turn. */
+  /** Counts a connection that was accepted in this turn, with its first request. */
   recordAccepted(): void {
-    this.#acceptedNow += 1;
-    this.#accepted += 1;
+    this.#isAccepting = true;
+    this.#read += 1;
   }
 
-  /** Ends a turn. Returns whether a request is to be begun in it, if one waits. */
-  end(): boolean {
-    const areMoreComing = this.#acceptedNow > 0 && this.#accepted < acceptedPerBegin;
-    this.#acceptedNow = 0;
-    if (areMoreComing) return false;
-    this.#accepted = 0;
-    return true;
+  /** Counts a request that was read on a kept connection. */
+  recordRead(): void {
+    this.#read += 1;
+  }
+
+  /** Ends a turn. Returns how many requests are to be begun in it, if so many wait. */
+  end(): number {
+    const areMoreComing = this.#isAccepting && this.#read < readPerBegin;
+    this.#isAccepting = false;
+    if (areMoreComing) return 0;
+    const count = Math.max(1, Math.floor(this.#read / readPerBegin));
+    this.#read = 0;
+    return count;
   }
 }
--- a/packages/gateway/src/callerConnection.ts
+++ b/packages/gateway/src/callerConnection.ts
@@ -3,6 +3,7 @@
 
 import type { ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import type { Milliseconds } from '@catkinwheel/state';
 
 /** One connection of a caller. */
 export class CallerConnection {
@@ -11,6 +12,8 @@
   #requests = 0;
   #isCloseAnnounced = false;
   #isBroken = false;
+  /** When its caller may come back after a refusal. */
+  #returnAt: Milliseconds = 0;
 
   private constructor(
     private readonly socket: Socket,
@@ -54,6 +57,28 @@
     });
   }
 
+  /**
+   * Records at `now` that a request is refused, whose caller may come back after `retryAfter`. If it has come back too early from the
+   * refusal before, nothing more is read for up to `longest` once `response` is sent: refusing again and again on connections
+   * that are kept would take the processor time of everybody.
+   */
+  recordRefusal(
+    response: ServerResponse,
+    now: Milliseconds,
+    retryAfter: Milliseconds,
+    longest: Milliseconds,
+  ): void {
+    const isEarly = now < this.#returnAt;
+    this.#returnAt = now + retryAfter;
+    if (!isEarly) return;
+    const hold = (): void => {
+      if (this.socket.destroyed || this.#due.size > 0 || !response.req.complete) return;
+      this.socket.pause();
+      setTimeout(() => this.socket.resume(), Math.min(retryAfter, longest)).unref();
+    };
+    response.once('finish', () => setImmediate(hold));
+  }
+
   /**
    * Whether the response, whose head is about to be sent, may announce the close of the connection: no other one is due. A response
    * that waits for an earlier one may not, since requests can be read behind it until its head is sent.
--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -17,6 +17,7 @@
 import { CallerConnection } from './callerConnection.js';
 import { callerLeft } from './callerLeft.js';
 import { nextTurn } from './eventLoopTurn.js';
+import { sendRawResponse } from './rawResponse.js';
 import { readFirstRequest, type FirstHead, type FirstRequest } from './firstRequest.js';
 import { IntakeLoop } from './intakeLoop.js';
 import {
@@ -46,6 +47,9 @@
   readonly selectTarget: () => Endpoint | undefined;
 }
 
+/** Longest time for which nothing is read on a connection whose caller comes back too early. */
+const maxReadPause: Milliseconds = 300;
+
 /** Work of handing a connection over, as a fraction of that of serving a request. */
 const handoverWork = 1 / 8;
 
@@ -153,7 +157,7 @@
     this.#intake.recordAccepted();
     const { isStopping } = this.dependencies.stops;
     if (exceedsWaitLimit(wait)) this.#longWaits.set(socket, wait);
-    else if (!isStopping && this.handover.isActive()) {
+    else if (!isStopping && (this.handover.isActive() || this.#intake.isStanding)) {
       void this.#readAndDecide(socket);
       return;
     }
@@ -165,22 +169,68 @@
     this.#server.emit('connection', socket);
   }
 
-  /** Reads the first request of a connection, which waits for processor time before it is parsed. */
+  /**
+   * Reads the first request of a connection, which waits for processor time before it is parsed: parsing takes a good part of
+   * what refusing it costs.
+   */
   async #readAndDecide(socket: Socket): Promise<void> {
     const acceptedAt = this.dependencies.clock.now();
     const first = await readFirstRequest(socket);
     if (first === undefined) return;
-    const { head } = first;
+    // A connection without a listener would end this process with its error.
+    const onError = (): void => {
+      socket.destroy();
+    };
+    socket.on('error', onError);
+    this.#underWay += 1;
+    const decided = (): void => {
+      socket.off('error', onError);
+      this.#underWay -= 1;
+      this.#lastFinishedAt = this.dependencies.clock.now();
+    };
     this.#intake.add({
-      team: this.#teamOf(head),
+      team: this.#teamOf(first.head),
       earlier: 0,
-      begin: () => (socket.destroyed ? 0 : this.#handOverOrServe(socket, first, acceptedAt)),
+      begin: () => {
+        decided();
+        return socket.destroyed ? 0 : this.#handOverOrServe(socket, first, acceptedAt);
+      },
       refuse: (retryAfter) => {
-        this.#serveRead(socket, first, { kind: 'refused', retryAfter });
+        decided();
+        this.#refuseRead(socket, first, retryAfter);
       },
     });
   }
 
+  /** Refuses a request of which only the head was read. */
+  #refuseRead(socket: Socket, first: FirstRequest, retryAfter: Milliseconds): void {
+    const { head } = first;
+    if (head === undefined) {
+      this.#serveRead(socket, first, { kind: 'refused', retryAfter });
+      return;
+    }
+    const { log, metrics, teamCounts, dispatcher } = this.dependencies;
+    const [outcome, reason] = ['refused', 'processorTime'] as const;
+    const team = this.#teamOf(head);
+    metrics.requests.inc({ outcome });
+    metrics.refusals.inc({ reason });
+    if (team !== '') teamCounts.record(team, outcome, undefined);
+    const { waiting } = dispatcher;
+    log.write('request', {
+      id: head.id,
+      outcome,
+      reason,
+      status: 503,
+      team,
+      waiting,
+      attempts: [],
+    });
+    socket.on('error', (error) => {
+      log.write('refused caller lost', { id: head.id, detail: error.message });
+    });
+    sendRawResponse(socket, head.id, { status: '503 Service Unavailable', retryAfter });
+  }
+
   /**
    * Hands the connection over to another router if its first request may run there; otherwise serves it here. Returns the work of
    * that.
@@ -290,6 +340,7 @@
       return work;
     };
     const refuse = (retryAfter: Milliseconds): void => {
+      connection.recordRefusal(response, dependencies.clock.now(), retryAfter, maxReadPause);
       handler.refuseForProcessorTime(retryAfter);
       finish();
     };
--- a/packages/gateway/src/intakeLoop.ts
+++ b/packages/gateway/src/intakeLoop.ts
@@ -25,6 +25,11 @@
     return new IntakeLoop(intake, faults);
   }
 
+  /** Whether requests have been waiting for so long that more is asked than can be served. */
+  get isStanding(): boolean {
+    return this.intake.isStanding;
+  }
+
   /** Counts a connection that was accepted in this turn. */
   recordAccepted(): void {
     this.#turns.recordAccepted();
@@ -32,6 +37,7 @@
 
   /** Has the request begun or refused. */
   add(request: PendingRequest): void {
+    if (request.earlier > 0) this.#turns.recordRead();
     const refused = this.intake.add(request);
     const retryAfter = this.intake.retryAfter();
     for (const each of refused)
@@ -46,17 +52,16 @@
     this.#isScheduled = true;
     setImmediate(() => {
       this.#isScheduled = false;
-      if (this.#turns.end())
-        this.faults.contain('intake', () => {
-          this.#begin();
-        });
+      this.faults.contain('intake', () => {
+        this.#begin(this.#turns.end());
+      });
       this.#schedule();
     });
   }
 
-  /** Begins requests that are the work of one. */
-  #begin(): void {
-    for (let work = 0; work < 1;) {
+  /** Begins requests that are the work of `count`. */
+  #begin(count: number): void {
+    for (let work = 0; work < count;) {
       const next = this.intake.next();
       if (next === undefined) return;
       work += next.begin();
--- a/packages/gateway/src/tunnels.ts
+++ b/packages/gateway/src/tunnels.ts
@@ -3,14 +3,12 @@
 // so a caller whose tunnel is lost before the first byte of it gets an error response from this router.
 
 import { connect, type Socket } from 'node:net';
-import { headerNames } from '@catkinwheel/platform';
 import type { Clock, Milliseconds } from '@catkinwheel/state';
 import type { Log } from './log.js';
+import { sendRawResponse } from './rawResponse.js';
 
 /** A router that does not accept within this time is gone, frozen or partitioned; latency within a region is some ms. */
 const connectTimeout: Milliseconds = 200;
-/** Time in which a caller has to take an error response and close its connection. */
-const lingerTime: Milliseconds = 1_000;
 
 /** Address at which a router takes handed-over connections. */
 export interface Endpoint {
@@ -172,17 +170,6 @@
     remote.destroy();
     // A response that ends early must not look complete.
     if (hasResponse) caller.resetAndDestroy();
-    else answer(caller, status, request.id);
+    else sendRawResponse(caller, request.id, { status });
   }
 }
-
-function answer(caller: Socket, status: ErrorStatus, id: string): void {
-  const fields = ['content-length: 0', 'connection: close'];
-  if (id !== '') fields.push(`${headerNames.requestId}: ${id}`);
-  caller.end(`HTTP/1.1 ${status}\r\n${fields.join('\r\n')}\r\n\r\n`);
-  // Unread bytes of the request would reset the connection before the caller has the response.
-  caller.resume();
-  caller.setTimeout(lingerTime, () => {
-    caller.destroy();
-  });
-}
