--- a/packages/coordination/src/routing/crashReports.ts
+++ b/packages/coordination/src/routing/crashReports.ts
@@ -38,7 +38,7 @@
 const evidenceLifetime: Milliseconds = 60_000;
 /** Time after its last change for which a report is sent to other routers, so that lost datagrams do not matter. */
 const sendingTime: Milliseconds = 3_000;
-/** Max reports that are kept; the oldest are dropped first. */
+/** Max reports that are kept: those of the latest ends. */
 const maxReports = 512;
 /** Max reports in one datagram, and parts in one report, so that they fit. */
 const maxSentReports = 12;
@@ -50,8 +50,8 @@
 
 /** The reports of one router and those that it has received. */
 export class CrashReports {
-  /** In the order of arrival. */
-  #reports: ReadonlyMap<string, KnownReport> = new Map();
+  /** In the order of their last change. */
+  readonly #reports = new Map<string, KnownReport>();
   /** The ends by these reports; undefined until they are needed. */
   #ends: readonly CrashEnd[] | undefined;
 
@@ -100,9 +100,7 @@
   recordAlive(server: ServerInstance, sentAt: Milliseconds): void {
     const known = this.#own(server);
     if (known === undefined || known.isConfirmed || known.at >= sentAt) return;
-    const reports = new Map(this.#reports);
-    reports.delete(keyOf(known));
-    this.#replace(reports);
+    this.#delete(keyOf(known));
   }
 
   /** Instances to which this router has lost connections and of which it is not known whether they have ended. */
@@ -117,9 +115,9 @@
     if (report.reporter === this.self) return false;
     const known = this.#reports.get(keyOf(report));
     const isNews =
-      known === undefined ||
-      (report.isConfirmed && !known.isConfirmed) ||
-      requestsOf(report) > requestsOf(known);
+      (known === undefined && this.#hasRoomFor(report)) ||
+      (known !== undefined &&
+        ((report.isConfirmed && !known.isConfirmed) || requestsOf(report) > requestsOf(known)));
     const isConfirmed = report.isConfirmed || known?.isConfirmed === true;
     const parts = report.parts.slice(0, maxParts);
     if (isNews) this.#put({ ...report, isConfirmed, parts });
@@ -143,24 +141,36 @@
 
   expire(): void {
     const oldest = this.clock.now() - evidenceLifetime;
-    if (![...this.#reports.values()].some(({ at }) => at < oldest)) return;
-    this.#replace(new Map([...this.#reports].filter(([, { at }]) => at >= oldest)));
+    for (const [key, { at }] of this.#reports) if (at < oldest) this.#delete(key);
   }
 
   #own(server: ServerInstance): KnownReport | undefined {
     return this.#reports.get(keyOf({ reporter: this.self, server }));
   }
 
+  /** Whether the report is later than one that is kept, or there is room. One that was dropped is no news when it comes again. */
+  #hasRoomFor({ at }: CrashReport): boolean {
+    return this.#reports.size < maxReports || at > (this.#earliest()?.at ?? -Infinity);
+  }
+
+  #earliest(): KnownReport | undefined {
+    let earliest: KnownReport | undefined;
+    for (const report of this.#reports.values())
+      if (earliest === undefined || report.at < earliest.at) earliest = report;
+    return earliest;
+  }
+
   #put(report: CrashReport): void {
-    const reports = new Map(this.#reports);
     const key = keyOf(report);
-    reports.delete(key);
-    reports.set(key, { ...report, changedAt: this.clock.now() });
-    this.#replace(new Map([...reports].slice(-maxReports)));
+    const earliest = this.#reports.size < maxReports ? undefined : this.#earliest();
+    if (earliest !== undefined && !this.#reports.has(key)) this.#delete(keyOf(earliest));
+    this.#reports.delete(key);
+    this.#reports.set(key, { ...report, changedAt: this.clock.now() });
+    this.#ends = undefined;
   }
 
-  #replace(reports: ReadonlyMap<string, KnownReport>): void {
-    this.#reports = reports;
+  #delete(key: string): void {
+    this.#reports.delete(key);
     this.#ends = undefined;
   }
 }
