--- a/packages/standins/src/stack/pipelined.test.ts
+++ b/packages/standins/src/stack/pipelined.test.ts
@@ -72,10 +72,14 @@
     assert.match(statusOf(read), /^200 (keep-alive)?$/);
     assert.match(statusOf(charge), /^200 /);
   }
-  // A response that is the only one due closes the connection.
+  // A response that is the only one due closes the connection: that to the later request if the other one is complete by then,
+  // otherwise that to a further request.
   const [single] = pairOf('single');
+  const lastOfPair = answers[0]?.[1];
   assert.ok(single !== undefined && connections[0] !== undefined);
-  assert.equal(statusOf(await connections[0].ask(single)), '200 close');
+  const isClosed = statusOf(lastOfPair) === '200 close';
+  const last = isClosed ? lastOfPair : await connections[0].ask(single);
+  assert.equal(statusOf(last), '200 close');
 });
 
 /** Longer than the header timeout and the interval of its checks. */
