--- a/packages/coordination/src/routing/admission.ts
+++ b/packages/coordination/src/routing/admission.ts
@@ -7,6 +7,7 @@
 
 import type { Clock, Milliseconds } from '@catkinwheel/state';
 import { noLoad, sumLoads, type Load, type LoadMap } from './loads.js';
+import { isOwedService, retryDelay, returnFactor, standingQueueTime } from './overload.js';
 import type { Placement } from './placement.js';
 import type { ResponseDuration } from './responseTimes.js';
 import type { WorkTimer } from './workTimer.js';
@@ -96,18 +97,11 @@
 const minPassInterval: Milliseconds = 10;
 /** Retry delay sent to refused callers if there is no estimate. */
 const defaultRetryDelay: Milliseconds = 1_000;
-const minRetryDelay: Milliseconds = 300;
-const maxRetryDelay: Milliseconds = 4_000;
 /**
  * Fraction of a request's time, from arrival to deadline, that the response takes after its first event. A
  * request with less left is refused.
  */
 const responseFraction = 1 / 3;
-/**
- * A queue that has not been empty for this time is a standing one: it comes from more requests than can be served, not from a
- * burst that is soon worked off (M. Maurer, Fail at Scale, ACM Queue 13.8, after the CoDel queue management).
- */
-const standingQueueTime: Milliseconds = 300;
 /**
  * Where a queue stands, a new request has to be predicted to begin within this fraction of its latency target, and a queued one
  * within all of it. The rest is for requests that go ahead of it later, so that few are refused after they have waited.
@@ -119,8 +113,6 @@
  */
 const arrivalWaitFraction = 0.4;
 const queuedWaitFraction = 0.5;
-/** Callers that are refused come back after this multiple of the time for which the queue has been standing. */
-const returnFactor = 2;
 /** Covers forwarding the first event to the caller, and the error of its prediction. */
 const firstEventMargin: Milliseconds = 200;
 /** Fraction of its latency target that a job waits for a server to become usable if none is. */
@@ -135,13 +127,6 @@
  */
 const underservedFraction = 0.9;
 
-/**
- * A team that has received less than this fraction of what the best-served team has got is owed service: its requests are
- * refused only if they cannot be served at all. Half of what another team gets is the least that is fair; the rest is for
- * service that is reported late.
- */
-const owedFraction = 0.6;
-
 interface QueuedJob {
   readonly job: Job;
   /** Placement by the last pass; undefined before the first one, or if no server was usable. */
@@ -312,7 +297,8 @@
         this.#settle(queued, { ...placement, kind: 'server' });
         return;
       case 'wait': {
-        const isOwed = snapshot.received(job.team) < owedFraction * snapshot.mostReceived();
+        // Requests of a team that is owed service are refused only if they cannot be served at all.
+        const isOwed = isOwedService(snapshot.received(job.team), snapshot.mostReceived());
         const standing = isOwed ? 0 : this.#standingTime(job.service);
         const limit = latestStart(job, placement.idlePrediction, standing, isArrival);
         if (now + placement.predicted > limit) {
@@ -461,6 +447,5 @@
   reason: RefusalReason,
   wait: Milliseconds,
 ): Extract<AdmissionResult, { readonly kind: 'refused' }> {
-  const retryAfter = Math.min(maxRetryDelay, Math.max(minRetryDelay, wait));
-  return { kind: 'refused', reason, retryAfter };
+  return { kind: 'refused', reason, retryAfter: retryDelay(wait) };
 }
--- a/packages/coordination/src/routing/crashReports.ts
+++ b/packages/coordination/src/routing/crashReports.ts
@@ -115,9 +115,9 @@
     if (report.reporter === this.self) return false;
     const known = this.#reports.get(keyOf(report));
     const isNews =
-      (known === undefined && this.#hasRoomFor(report)) ||
-      (known !== undefined &&
-        ((report.isConfirmed && !known.isConfirmed) || requestsOf(report) > requestsOf(known)));
+      known === undefined
+        ? this.#hasRoomFor(report)
+        : (report.isConfirmed && !known.isConfirmed) || requestsOf(report) > requestsOf(known);
     const isConfirmed = report.isConfirmed || known?.isConfirmed === true;
     const parts = report.parts.slice(0, maxParts);
     if (isNews) this.#put({ ...report, isConfirmed, parts });
--- a/packages/coordination/src/routing/gossipTopology.test.ts
+++ b/packages/coordination/src/routing/gossipTopology.test.ts
@@ -185,22 +185,13 @@
 // Guards against FAIR of issue 42: each router told all others of each change of the tables, so that a second in which some servers
 // started took all processor time of small VMs.
 test('a change of the tables is told by its reader and by the representatives of data centres only', () => {
-  const fleet = new Fleet(3, 20);
-  const telling = [...fleet.nodes.values()].filter(({ self, members }) => {
-    const topology = gossipTopologyOf(self, members.alive(), members.names().length);
-    return spreadsChange(topology, self.name === 'r-1-15');
-  });
-  assert.deepEqual(
-    telling.map(({ self }) => self.name),
-    ['r-0-10', 'r-1-10', 'r-1-15', 'r-2-10'],
-  );
-  const small = new Fleet(2, 4);
-  const tellingOfSmall = [...small.nodes.values()].filter(({ self, members }) => {
-    const topology = gossipTopologyOf(self, members.alive(), members.names().length);
-    return spreadsChange(topology, self.name === 'r-0-11');
-  });
-  assert.deepEqual(
-    tellingOfSmall.map(({ self }) => self.name),
-    ['r-0-11'],
-  );
+  const telling = (fleet: Fleet, reader: string): readonly string[] =>
+    [...fleet.nodes.values()]
+      .filter(({ self, members }) => {
+        const topology = gossipTopologyOf(self, members.alive(), members.names().length);
+        return spreadsChange(topology, self.name === reader);
+      })
+      .map(({ self }) => self.name);
+  assert.deepEqual(telling(new Fleet(3, 20), 'r-1-15'), ['r-0-10', 'r-1-10', 'r-1-15', 'r-2-10']);
+  assert.deepEqual(telling(new Fleet(2, 4), 'r-0-11'), ['r-0-11']);
 });
--- a/packages/coordination/src/routing/intake.ts
+++ b/packages/coordination/src/routing/intake.ts
@@ -5,6 +5,7 @@
 // this router has done least. What cannot be begun soon is refused at once, from the teams that come last.
 
 import type { Clock, Milliseconds } from '@catkinwheel/state';
+import { isOwedService, retryDelay, returnFactor, standingQueueTime } from './overload.js';
 import { TeamUsage } from './teamUsage.js';
 
 /** A request whose head has been read. */
@@ -24,17 +25,10 @@
 
 /** Longest wait for processor time, of the last request in order. */
 const maxWait: Milliseconds = 600;
-/** The same where requests have been waiting for `standingTime` without a break. */
+/** The same where the queue is a standing one. */
 const maxStandingWait: Milliseconds = 200;
-const standingTime: Milliseconds = 300;
 /** Weight of the latest interval between two requests in the average. */
 const intervalWeight = 0.2;
-/** As for requests that wait for servers: a team with less than this fraction of what the best-served one got is owed service. */
-const owedFraction = 0.6;
-/** Callers that are refused come back after this multiple of the time for which requests have been waiting. */
-const returnFactor = 2;
-const minRetryDelay: Milliseconds = 300;
-const maxRetryDelay: Milliseconds = 4_000;
 
 /** Requests that wait for processor time of one router. */
 export class Intake<Waiting extends WaitingRequest> {
@@ -66,7 +60,7 @@
 
   /** Whether requests have been waiting without a break for longer than a burst takes, so that more is asked than can be served. */
   get isStanding(): boolean {
-    return this.#standing() >= standingTime;
+    return this.#standing() >= standingQueueTime;
   }
 
   /** Adds a request. Returns those to be refused, which may include it: the last in order that would wait for too long. */
@@ -110,7 +104,7 @@
 
   /** Time after which the caller of a request that is refused now may come back. */
   retryAfter(): Milliseconds {
-    return Math.min(maxRetryDelay, Math.max(minRetryDelay, returnFactor * this.#standing()));
+    return retryDelay(returnFactor * this.#standing());
   }
 
   /** Requests that can be begun in time; one in any case. */
@@ -126,10 +120,10 @@
   /** The requests in the order in which they are begun. Of one team, those on connections that have been served least go first. */
   #inOrder(): readonly Waiting[] {
     if (this.#waiting.length < 2) return this.#waiting;
-    const owedLimit = owedFraction * this.fleet.mostReceived();
+    const mostReceived = this.fleet.mostReceived();
     const teams = new Map(
       [...new Set(this.#waiting.map(({ team }) => team))].map((team) => {
-        const isOwed = this.fleet.received(team) < owedLimit;
+        const isOwed = isOwedService(this.fleet.received(team), mostReceived);
         return [team, { isOwed, begun: this.#begun.received(team) }] as const;
       }),
     );
--- a/packages/coordination/src/routing/routeTable.ts
+++ b/packages/coordination/src/routing/routeTable.ts
@@ -32,9 +32,9 @@
     return this.#byHost.get(host)?.find(({ prefix }) => path.startsWith(prefix));
   }
 
-  /** The team that holds the API key `key`. */
-  team(key: string): Team | undefined {
-    return this.#byKey.get(key);
+  /** The team that holds the API key `key`; undefined if there is no key, or no team that holds it. */
+  team(key: string | undefined): Team | undefined {
+    return key === undefined ? undefined : this.#byKey.get(key);
   }
 
   service(name: string): Service | undefined {
--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -260,8 +260,7 @@
   }
 
   #teamOf(head: FirstHead | undefined): string {
-    if (head?.key === undefined) return '';
-    return this.dependencies.dispatcher.table?.team(head.key)?.name ?? '';
+    return this.dependencies.dispatcher.table?.team(head?.key)?.name ?? '';
   }
 
   #countHandover(head: FirstHead): void {
--- a/packages/gateway/src/gossip.ts
+++ b/packages/gateway/src/gossip.ts
@@ -23,8 +23,7 @@
 import type { Clock, Milliseconds } from '@catkinwheel/state';
 import { Codec, array, boolean, nullable, optional, string, tuple, type GetType } from 'purify-ts';
 import { decodeEvidence, encodeEvidence, evidenceCodec } from './crashEvidence.js';
-import type { TableVersions } from './peerState.js';
-import { tableNames, type Source, type StoreReplica } from './storeReplica.js';
+import type { Source, StoreReplica, TableVersions } from './storeReplica.js';
 import type { Faults } from './faults.js';
 import type { Log } from './log.js';
 
@@ -335,7 +334,7 @@
       if (reporter.kind === 'dataCentre' && isDirect && representatives !== undefined)
         for (const peer of directPeers) if (this.#isDue(peer)) this.#sendTo(peer.ip, bytes);
     }
-    if (isNewer(message, storeReplica)) onNewerVersions(from, message);
+    if (storeReplica.isBehind(message)) onNewerVersions(from, message);
   }
 
   /** Records that this router or another one received a heartbeat of the member `age` ago. */
@@ -357,10 +356,6 @@
   return Number.isFinite(age) ? Math.round(age) : null;
 }
 
-function isNewer(message: Message, storeReplica: StoreReplica): boolean {
-  return tableNames.some((table) => message[table] > storeReplica.version(table));
-}
-
 function reportOf(message: Message): Report {
   return {
     loads: decodeLoads(message.loads),
--- a/packages/gateway/src/peerState.ts
+++ b/packages/gateway/src/peerState.ts
@@ -14,7 +14,7 @@
 import { Codec, array, boolean, optional, string, tuple, type GetType } from 'purify-ts';
 import type { Dispatcher, Members } from '@catkinwheel/coordination/routing';
 import { Agent } from 'undici';
-import { tableNames, type Changes, type StoreReplica, type TableName } from './storeReplica.js';
+import { tableNames, type Changes, type StoreReplica, type TableVersions } from './storeReplica.js';
 import type { Log } from './log.js';
 
 const path = '/state';
@@ -29,9 +29,6 @@
 /** A router that has not sent newer rows by then is waited for no longer before another one is asked. */
 const newerPatience: Milliseconds = 150;
 
-/** Versions of a router's tables. */
-export type TableVersions = Readonly<Record<TableName, number>>;
-
 /** A router that has said that its tables are newer. */
 interface NewerPeer {
   readonly address: string;
@@ -132,10 +129,7 @@
   #takeNewerPeer(): NewerPeer | undefined {
     const peer = this.#newerPeer;
     this.#newerPeer = undefined;
-    const { storeReplica } = this.options;
-    const isNewer = tableNames.some((table) => {
-      return (peer?.versions[table] ?? 0) > storeReplica.version(table);
-    });
+    const isNewer = peer !== undefined && this.options.storeReplica.isBehind(peer.versions);
     return isNewer ? peer : undefined;
   }
 
--- a/packages/gateway/src/rawResponse.ts
+++ b/packages/gateway/src/rawResponse.ts
@@ -7,9 +7,12 @@
 /** Time in which a caller has to take the response and close its connection. */
 const lingerTime: Milliseconds = 1_000;
 
-/** A response without a body. Only a refusal promises that the request has not run. */
+/** Statuses of error responses, which do not promise that the request has not run. */
+export type ErrorStatus = '502 Bad Gateway' | '504 Gateway Timeout';
+
+/** A response without a body. */
 export type RawResponse =
-  | { readonly status: '502 Bad Gateway' | '504 Gateway Timeout' }
+  | { readonly status: ErrorStatus }
   | { readonly status: '503 Service Unavailable'; readonly retryAfter: Milliseconds };
 
 /** Sends the response to the request `id`, which may be empty, and closes the connection. */
--- a/packages/gateway/src/requestHandler.ts
+++ b/packages/gateway/src/requestHandler.ts
@@ -195,19 +195,19 @@
 
   /** Name of the team that holds the caller's key; empty if there is none. */
   get team(): string {
-    return this.#teamOfKey()?.name ?? '';
+    return this.dependencies.dispatcher.table?.team(this.#head.key)?.name ?? '';
   }
 
   /** Refuses the request without reading its body, since this router has no processor time for it. */
   refuseForProcessorTime(retryAfter: Milliseconds): void {
-    this.#team = this.#teamOfKey();
+    this.#team = this.dependencies.dispatcher.table?.team(this.#head.key);
     this.#refuse('processorTime', retryAfter);
   }
 
   /** Refuses the request without reading its body, since its connection waited too long to be accepted. */
   refuseAfterAcceptWait(wait: Milliseconds): void {
     this.#acceptWait = wait;
-    this.#team = this.#teamOfKey();
+    this.#team = this.dependencies.dispatcher.table?.team(this.#head.key);
     this.#refuse('behind', behindRetryAfter);
   }
 
@@ -255,7 +255,7 @@
     const limit = table?.state.limits.body ?? Infinity;
     const body = await readBody(this.request, limit, bodyBudget);
     if (body === 'gone') {
-      this.#team = this.#teamOfKey();
+      this.#team = this.dependencies.dispatcher.table?.team(this.#head.key);
       this.#finish('left', 'unread');
       return;
     }
@@ -288,7 +288,7 @@
     }
     this.#route = route;
     if (table.state.teams !== undefined && !route.isPublic) {
-      this.#team = this.#teamOfKey();
+      this.#team = table.team(this.#head.key);
       if (this.#team === undefined) {
         this.#reject(statuses.unknownKey, 'unknownKey');
         return;
@@ -301,12 +301,6 @@
     await this.#tryServers(route, body);
   }
 
-  /** The team that holds the caller's key; undefined if it has none or an unknown one. */
-  #teamOfKey(): Team | undefined {
-    const { key } = this.#head;
-    return key === undefined ? undefined : this.dependencies.dispatcher.table?.team(key);
-  }
-
   /**
    * This router, or the one that holds the connection, may have to stop: the response is complete, or replaced by an error, before
    * the connection ends. A request that still waits for a server is judged anew.
--- a/packages/gateway/src/storeReplica.ts
+++ b/packages/gateway/src/storeReplica.ts
@@ -38,6 +38,9 @@
  */
 const renewalPeriod: Milliseconds = 2_500;
 
+/** Versions of a router's copies of the tables. */
+export type TableVersions = Readonly<Record<TableName, number>>;
+
 /** Rows changed since some version, up to `version`; for `replace`, all rows of the table. */
 export interface Changes {
   readonly version: number;
@@ -79,6 +82,11 @@
     return this.#copies[table].version;
   }
 
+  /** Whether a router with these versions has rows that this one lacks. */
+  isBehind(versions: TableVersions): boolean {
+    return tableNames.some((table) => versions[table] > this.version(table));
+  }
+
   changesSince(table: TableName, version: number): Changes {
     const copy = this.#copies[table];
     return { version: copy.version, rows: copy.since(version) };
--- a/packages/gateway/src/tunnels.ts
+++ b/packages/gateway/src/tunnels.ts
@@ -5,7 +5,7 @@
 import { connect, type Socket } from 'node:net';
 import type { Clock, Milliseconds } from '@catkinwheel/state';
 import type { Log } from './log.js';
-import { sendRawResponse } from './rawResponse.js';
+import { sendRawResponse, type ErrorStatus } from './rawResponse.js';
 
 /** A router that does not accept within this time is gone, frozen or partitioned; latency within a region is some ms. */
 const connectTimeout: Milliseconds = 200;
@@ -35,9 +35,6 @@
   readonly hasResponse: boolean;
 }
 
-/** Statuses of error responses, which do not promise that the request has not run. */
-type ErrorStatus = '502 Bad Gateway' | '504 Gateway Timeout';
-
 /** The tunnels of one router. */
 export class Tunnels {
   /** Open tunnels by the caller's connection. */
