--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -36,6 +36,7 @@
 import { nextTurn } from './eventLoopTurn.js';
 import { EventLoopLag } from './eventLoopLag.js';
 import { Log } from './log.js';
+import { LoopTurns } from './loopTurns.js';
 import { Metrics } from './metrics.js';
 import { PeerState } from './peerState.js';
 import { Registration } from './registration.js';
@@ -97,6 +98,8 @@
   readonly #workTimer: WorkTimer;
   readonly #stops: PlannedStops;
   readonly #teamCounts = TeamCounts.create();
+  readonly #loopTurns = LoopTurns.create();
+  readonly #intake: IntakeLoop;
   /** Set once the planned stop has begun. */
   #stopping: Promise<void> | undefined;
   /** Whether new connections are handed over to other routers. */
@@ -201,6 +204,7 @@
       },
     });
     this.#tunnels = Tunnels.create(clock, log);
+    this.#intake = IntakeLoop.create(Intake.create(clock, dispatcher), faults, clock);
     this.#frontend = Frontend.create(
       {
         clock,
@@ -212,7 +216,7 @@
         stops,
         bodyBudget: BodyBudget.create(settings.memory),
         teamCounts: this.#teamCounts,
-        intake: IntakeLoop.create(Intake.create(clock, dispatcher), faults, clock),
+        intake: this.#intake,
         isBehind: () => this.#eventLoopLag.isBehind,
         late: () => this.#eventLoopLag.late,
         random: Math.random,
@@ -326,7 +330,9 @@
     const since = this.#loggedTimes;
     this.#loggedTimes = { at: this.#clock.now(), times };
     const { acceptedCount } = this.#frontend;
-    this.#log.write(event, {
+    const { turns, busy } = this.#loopTurns.take();
+    const { begun, refused, left, longestWait } = this.#intake.takeCounts();
+    this.#log.report(event, {
       late: Math.round(late),
       acceptWait: Math.round(this.#frontend.acceptWait),
       used: Number(this.#cpuUsage.usedCores().toFixed(3)),
@@ -335,6 +341,12 @@
       waiting: this.#dispatcher.waiting,
       tunnels: this.#tunnels.openedCount,
       accepted: acceptedCount - this.#loggedAccepted,
+      begun,
+      refused,
+      left,
+      intakeWait: Math.round(longestWait),
+      turns,
+      busy: Math.round(busy),
       span: Math.round(this.#clock.now() - since.at),
       datagrams: Math.round(times.datagrams - since.times.datagrams),
       queue: Math.round(times.queue - since.times.queue),
@@ -354,7 +366,7 @@
       got: deliveredTokens,
       received: Math.round(this.#dispatcher.received(team)),
     }));
-    this.#log.write('teams', { teams });
+    this.#log.report('teams', { teams });
   }
 
   #readCachedParts(): Promise<void> {
--- a/packages/gateway/src/intakeLoop.ts
+++ b/packages/gateway/src/intakeLoop.ts
@@ -11,15 +11,29 @@
   readonly refuse: (retryAfter: Milliseconds) => void;
 }
 
+/** What became of requests in the intake. */
+export interface IntakeCounts {
+  readonly begun: number;
+  readonly refused: number;
+  /** Requests whose callers had left when they were to be begun. */
+  readonly left: number;
+  /** The longest time that one of the others waited from being read until it was begun. */
+  readonly longestWait: Milliseconds;
+}
+
+const noCounts: IntakeCounts = { begun: 0, refused: 0, left: 0, longestWait: 0 };
+
 /** Runs an intake. */
 export class IntakeLoop {
   readonly #turns: IntakeTurns;
+  readonly #readAt = new WeakMap<PendingRequest, Milliseconds>();
+  #counts = noCounts;
   #isScheduled = false;
 
   private constructor(
     private readonly intake: Intake<PendingRequest>,
     private readonly faults: Faults,
-    clock: Clock,
+    private readonly clock: Clock,
   ) {
     this.#turns = IntakeTurns.create(clock);
   }
@@ -38,10 +52,19 @@
     this.#turns.recordAccepted();
   }
 
+  /** What became of requests since the last call; starts anew. */
+  takeCounts(): IntakeCounts {
+    const counts = this.#counts;
+    this.#counts = noCounts;
+    return counts;
+  }
+
   /** Has the request begun or refused. */
   add(request: PendingRequest): void {
     if (request.earlier > 0) this.#turns.recordRead();
+    this.#readAt.set(request, this.clock.now());
     const refused = this.intake.add(request);
+    this.#counts = { ...this.#counts, refused: this.#counts.refused + refused.length };
     const retryAfter = this.intake.retryAfter();
     for (const each of refused)
       this.faults.contain('intake', () => {
@@ -67,7 +90,18 @@
     for (let work = 0; work < count;) {
       const next = this.intake.next();
       if (next === undefined) return;
-      work += next.begin();
+      const added = next.begin();
+      this.#countBegin(next, added > 0);
+      work += added;
     }
   }
+
+  #countBegin(request: PendingRequest, isBegun: boolean): void {
+    const { begun, left, longestWait, ...others } = this.#counts;
+    const now = this.clock.now();
+    const wait = now - (this.#readAt.get(request) ?? now);
+    this.#counts = isBegun
+      ? { ...others, left, begun: begun + 1, longestWait: Math.max(longestWait, wait) }
+      : { ...others, begun, longestWait, left: left + 1 };
+  }
 }
--- a/packages/gateway/src/log.ts
+++ b/packages/gateway/src/log.ts
@@ -74,6 +74,11 @@
     this.#logger.info({ event, ...fields });
   }
 
+  /** Writes a line of a periodic report, whatever the rate of other lines: a router that logs too much is one to be looked at. */
+  report(event: string, fields: Fields): void {
+    this.#logger.info({ event, ...fields });
+  }
+
   #mayWrite(): boolean {
     const now = this.clock.now();
     const refill = ((now - this.#refilledAt) / 1_000) * linesPerSecond;
