--- a/packages/coordination/src/routing/intakeTurns.test.ts
+++ b/packages/coordination/src/routing/intakeTurns.test.ts
@@ -5,9 +5,14 @@
 import { Clock, type Milliseconds } from '@catkinwheel/state';
 import { IntakeTurns } from './intakeTurns.js';
 
-/** Time that a turn takes to accept and read a connection, and to serve a request; of a third of a core. */
-const reading: Milliseconds = 1;
-const serving: Milliseconds = 15;
+/** Time that a turn takes to accept and read a connection, and to serve a request. */
+interface Costs {
+  readonly reading: Milliseconds;
+  readonly serving: Milliseconds;
+}
+
+/** Of a third of a core. */
+const ordinary: Costs = { reading: 1, serving: 15 };
 
 /**
  * The longest wait of a connection to be read, and the requests begun, in ten seconds of `rate` connections a second. Each turn takes
@@ -16,6 +21,7 @@
 async function play(
   rate: number,
   otherWork: Milliseconds = 0,
+  { reading, serving }: Costs = ordinary,
 ): Promise<{ readonly longestWait: Milliseconds; readonly begun: number }> {
   const clock = Clock.manual(0);
   const turns = IntakeTurns.create(clock);
@@ -60,6 +66,19 @@
   assert.ok(begun >= 150, `${begun} requests begun`);
 });
 
+/** Part of what a router can serve that it serves however much more is asked; the rest is for reading what it refuses. */
+const servedPart = 3 / 4;
+
+// Guards against GONE and CONFIG of issue 45: a router that reads a fixed number of requests for each one that it begins spends its
+// time on reading where that is expensive, so that little is served in all and what is served is late.
+for (const costs of [ordinary, { reading: 3, serving: 9 }, { reading: 5, serving: 5 }])
+  for (const excess of [2, 5, 20])
+    test(`a router that is asked for ${excess} times what it can serve serves three quarters of that where reading takes ${costs.reading} ms and serving ${costs.serving} ms`, async () => {
+      const capacity = 10_000 / (costs.reading + costs.serving);
+      const { begun } = await play((excess * capacity) / 10, 0, costs);
+      assert.ok(begun >= servedPart * capacity, `${begun} begun of ${capacity.toFixed(0)}`);
+    });
+
 test('a turn without a new connection begins a request', () => {
   const turns = IntakeTurns.create(Clock.manual(0));
   assert.equal(turns.end(), 1);
--- a/packages/gateway/src/tunnels.test.ts
+++ b/packages/gateway/src/tunnels.test.ts
@@ -104,6 +104,32 @@
   await once(socket, 'end');
 });
 
+// Guards against GONE of issue 45: the request of a caller that closes its connection while it waits for its turn is sent to another
+// router, and reaches a server before the end of the connection does.
+test('a request whose caller has closed its connection is not passed on', async (t) => {
+  const passedOn: string[] = [];
+  const other = await listen(t, (socket) => {
+    socket.on('data', (bytes) => passedOn.push(bytes.toString()));
+  });
+  const clock = Clock.manual(1_000);
+  const tunnels = Tunnels.create(clock, Log.create(clock, 'router', 'boot'));
+  const request = { bytes: Buffer.from('request'), id: 'request-1', answerBy: Infinity };
+  const opened = new Promise<void>((resolve) => {
+    void listen(t, (socket) => {
+      socket.pause();
+      socket.on('end', () => {
+        void tunnels.open(socket, request, endOf(other)).then(() => {
+          resolve();
+        });
+      });
+    }).then((router) => connect(endOf(router)).end());
+  });
+  await opened;
+  await pause(50);
+  assert.deepEqual(passedOn, []);
+  assert.ok(tunnels.isEmpty);
+});
+
 // Violation MIXED: a response that breaks off must not look complete.
 test('a connection that the other router resets is reset for the caller', async (t) => {
   const other = await listen(t, (socket) => {
--- a/packages/standins/src/stack/smallVm.ts
+++ b/packages/standins/src/stack/smallVm.ts
@@ -50,6 +50,14 @@
   readonly path?: string;
 }
 
+/** Properties of a `SmallVm` besides the capacity of its VM. */
+export interface SmallVmOptions {
+  /** Time that each turn of the router's event loop takes at least; 0 if left out. */
+  readonly turn?: Milliseconds;
+  /** Whether its server reads requests and answers none. */
+  readonly silent?: boolean;
+}
+
 /** API key of a second team, which asks for less than the first one. */
 export const quietKey = 'key-of-quiet';
 
@@ -69,10 +77,14 @@
     private readonly arrivals: ReadonlyMap<string, Milliseconds>,
   ) {}
 
-  /** Starts all of it for a test, at whose end it is closed; `capacity` as in `start`. */
-  static async startFor(t: TestContext, capacity: number): Promise<SmallVm> {
+  /** Starts all of it for a test, at whose end it is closed; `capacity` and `options` as in `start`. */
+  static async startFor(
+    t: TestContext,
+    capacity: number,
+    options: SmallVmOptions = {},
+  ): Promise<SmallVm> {
     const folder = mkdtempSync(join(tmpdir(), 'catkinwheel-'));
-    const small = await SmallVm.start(folder, capacity);
+    const small = await SmallVm.start(folder, capacity, options);
     t.after(async () => {
       await small.close();
       rmSync(folder, { recursive: true });
@@ -81,12 +93,17 @@
   }
 
   /** Starts all of it. `capacity` is what the platform states for the VM; the router has a whole core until `pace`. */
-  static async start(folder: string, capacity: number): Promise<SmallVm> {
+  static async start(
+    folder: string,
+    capacity: number,
+    { turn = 0, silent = false }: SmallVmOptions = {},
+  ): Promise<SmallVm> {
     const arrivals = new Map<string, Milliseconds>();
     const server = createServer((request, response) => {
       const id = String(request.headers['request-id']);
       arrivals.set(id, performance.now());
       request.resume();
+      if (silent) return;
       void (isStream(request.url) ? stream(id, response) : answerAtOnce(id, response));
     });
     await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
@@ -102,6 +119,7 @@
       folder,
       grace: 4_000,
       capacity,
+      ...(turn > 0 ? { nodeOptions: ['--import', longTurns(turn)] } : {}),
     });
     const made = new SmallVm(router, ports, folder, store, server, arrivals);
     made.#describe();
@@ -129,6 +147,24 @@
     await pause(settleTime);
   }
 
+  /** Resolves once turns of the router's event loop are long. */
+  async hasLongTurns(): Promise<void> {
+    await pause(startTime);
+  }
+
+  /** The time from sending a request to its answer, and the status of that. */
+  async timeOf(path: string): Promise<{ readonly status: number; readonly took: Milliseconds }> {
+    const start = performance.now();
+    const { status } = await this.#call(
+      new AbortController().signal,
+      undefined,
+      undefined,
+      undefined,
+      path,
+    );
+    return { status, took: performance.now() - start };
+  }
+
   /** Leaves the router `share` of its processor from now on. */
   pace(share: number): void {
     void this.#pace(share);
@@ -308,6 +344,15 @@
   }
 }
 
+/** Module that makes each turn of an event loop take `turn`, once a router has had the time to start. */
+function longTurns(turn: Milliseconds): string {
+  const work = `const end = performance.now() + ${turn}; while (performance.now() < end);`;
+  return `data:text/javascript,const run = () => { ${work} setImmediate(run); }; setTimeout(run, ${startTime});`;
+}
+
+/** Time in which a router starts and learns of its servers. */
+const startTime: Milliseconds = 2_000;
+
 /** Time in which a request that is late may still reach a server. */
 const watchTime: Milliseconds = 4_000;
 const requestBody = 'x'.repeat(1_500);
