--- a/packages/coordination/src/routing/acceptQueue.test.ts
+++ b/packages/coordination/src/routing/acceptQueue.test.ts
@@ -5,7 +5,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { Clock, type Milliseconds } from '@catkinwheel/state';
-import { AcceptQueue, acceptBacklog, hasCallerLeft, exceedsWaitLimit } from './acceptQueue.js';
+import { AcceptQueue, acceptBacklog, exceedsWaitLimit } from './acceptQueue.js';
+import { Arrivals } from './arrivals.js';
 
 /** Event loop time per request. */
 interface Vm {
@@ -55,18 +56,9 @@
   const start = clock.now();
   const queue = AcceptQueue.create(clock, backlog);
   const waiting: (Milliseconds | 'probe')[] = [];
-  const turns: (() => void)[] = [];
-  const read: Milliseconds[] = [];
+  const arrivals = Arrivals.create<Milliseconds>();
   let arrived = 0;
   let [served, refused, rejected, left, late, longestWait] = [0, 0, 0, 0, 0, 0];
-  const checkCaller = async (arrival: Milliseconds): Promise<void> => {
-    const turn = (): Promise<void> =>
-      new Promise((resolve) => {
-        turns.push(resolve);
-      });
-    if (await hasCallerLeft(turn, () => clock.now() - arrival > callerTimeout)) left += 1;
-    else read.push(arrival);
-  };
   const serve = async (arrival: Milliseconds, work: Milliseconds): Promise<void> => {
     const wait = clock.now() - arrival;
     if (wait > callerTimeout) left += 1;
@@ -88,9 +80,10 @@
       if (waiting.length < backlog) waiting.push(arrivalOf(arrived));
       else rejected += 1;
     }
-    for (const turn of turns.splice(0)) turn();
-    await Promise.resolve();
-    for (const arrival of read.splice(0)) await serve(arrival, vm.serving - vm.refusing);
+    for (const arrival of arrivals.endTurn()) {
+      if (clock.now() - arrival > callerTimeout) left += 1;
+      else await serve(arrival, vm.serving - vm.refusing);
+    }
     const next = waiting.shift();
     if (next === undefined) {
       await clock.advance(1);
@@ -112,7 +105,7 @@
       refused += 1;
       await clock.advance(vm.refusing);
     } else if (checksCallers) {
-      void checkCaller(next);
+      arrivals.add(next);
       await clock.advance(vm.refusing);
     } else {
       await serve(next, vm.serving);
--- a/packages/coordination/src/routing/acceptQueue.ts
+++ b/packages/coordination/src/routing/acceptQueue.ts
@@ -128,17 +128,3 @@
 export function exceedsWaitLimit(wait: Milliseconds): boolean {
   return wait > waitLimit;
 }
-
-/**
- * Whether the caller of a new connection left before its request was read. The request and the end of the
- * connection are read in two turns of the event loop, so in the turn that reads the request every caller
- * still seems to be connected. `turn` resolves at the end of the next turn, and `isEnded` returns whether the
- * end of the connection has been read.
- */
-export async function hasCallerLeft(
-  turn: () => Promise<void>,
-  isEnded: () => boolean,
-): Promise<boolean> {
-  await turn();
-  return isEnded();
-}
--- a/packages/coordination/src/routing/index.ts
+++ b/packages/coordination/src/routing/index.ts
@@ -1,6 +1,7 @@
 // Routing decisions, without network access: which server runs a request, which requests wait and which are refused.
 
 export * from './admission.js';
+export * from './arrivals.js';
 export * from './responseClassification.js';
 export * from './coldStart.js';
 export * from './crashReports.js';
--- a/packages/coordination/src/routing/intake.ts
+++ b/packages/coordination/src/routing/intake.ts
@@ -74,6 +74,14 @@
     return refused;
   }
 
+  /** Takes out the requests for which `isGone` holds. */
+  remove(isGone: (request: Waiting) => boolean): readonly Waiting[] {
+    const gone = this.#waiting.filter(isGone);
+    if (gone.length > 0) this.#waiting = this.#waiting.filter((request) => !gone.includes(request));
+    if (this.#waiting.length === 0) this.#forgetWait();
+    return gone;
+  }
+
   /** Takes the request to be begun next; undefined if none waits. */
   next(): Waiting | undefined {
     const [first] = this.#inOrder();
--- a/packages/gateway/src/firstRequest.test.ts
+++ b/packages/gateway/src/firstRequest.test.ts
@@ -6,6 +6,7 @@
 import { connect, createServer as createListener, type AddressInfo, type Socket } from 'node:net';
 import { test, type TestContext } from 'node:test';
 import { setTimeout as pause } from 'node:timers/promises';
+import { hasLeft } from './callerPresence.js';
 import { readFirstRequest, type FirstRequest } from './firstRequest.js';
 
 const head = 'POST /reads/1 HTTP/1.1\r\nX-Host: a\r\nhost:  desk.example \r\nRequest-Id: r-1\r\n';
@@ -39,7 +40,8 @@
   await pause(20);
   caller.write(whole.slice(40));
   const [, first] = await accepted;
-  assert.equal(first?.bytes.toString(), whole);
+  assert.ok(first !== undefined);
+  assert.equal(first.takeBytes().toString(), whole);
   assert.deepEqual(first.head, {
     path: '/reads/1',
     headers: { host: 'desk.example' },
@@ -74,6 +76,19 @@
   assert.ok(socket.destroyed);
 });
 
+// Guards against GONE of issue 45: a body that is not read hides the end of the connection behind it.
+test('the end of a connection is seen while its first request waits', async (t) => {
+  const { caller, accepted } = await opened(t);
+  caller.write(whole.slice(0, -2));
+  const [socket, first] = await accepted;
+  assert.ok(first?.head !== undefined);
+  assert.ok(!hasLeft(socket));
+  caller.end(whole.slice(-2));
+  await once(socket, 'end');
+  assert.ok(hasLeft(socket));
+  assert.equal(first.takeBytes().toString(), whole);
+});
+
 // Guards against losing bytes of a request that stays at its router.
 for (const [how, at] of [
   ['at once', undefined],
@@ -87,7 +102,7 @@
     caller.write(whole.slice(0, at));
     const [socket, first] = await accepted;
     assert.ok(first !== undefined);
-    socket.unshift(first.bytes);
+    socket.unshift(first.takeBytes());
     server.emit('connection', socket);
     socket.resume();
     if (at !== undefined) caller.write(whole.slice(at));
--- a/packages/gateway/src/firstRequest.ts
+++ b/packages/gateway/src/firstRequest.ts
@@ -9,13 +9,15 @@
 const readTimeout: Milliseconds = 300;
 /** In bytes, as the HTTP parser. */
 const maxHeadBytes = 16 * 1024;
+/** Bytes of a body that are read while the request waits; the end of its connection comes after them. */
+const maxHeldBytes = 64 * 1024;
 const leavingEvents = ['end', 'error', 'close'] as const;
 const headEnd = '\r\n\r\n';
 
-/** The first bytes of a connection. */
+/** The first request of a connection, which is read further until its bytes are taken. */
 export interface FirstRequest {
-  /** All bytes read so far, which may include a part of the body. */
-  readonly bytes: Buffer;
+  /** Pauses the connection. Returns all bytes read so far, which may include a part of the body. */
+  readonly takeBytes: () => Buffer;
   /** Undefined if the head is incomplete, malformed, or expects an interim response. */
   readonly head: FirstHead | undefined;
 }
@@ -31,32 +33,46 @@
 }
 
 /**
- * Reads the first request of a connection up to the end of its head, and leaves the connection paused. Resolves with
- * undefined if the caller leaves meanwhile.
+ * Reads the first request of a connection up to the end of its head, and what comes after that until its bytes are taken, so that the
+ * end of the connection is seen meanwhile. Resolves with undefined if the caller leaves before the end of the head.
  */
 export function readFirstRequest(socket: Socket): Promise<FirstRequest | undefined> {
   return new Promise((resolve) => {
-    let bytes: Buffer = Buffer.alloc(0);
+    let chunks: readonly Buffer[] = [];
+    let size = 0;
+    let isDecided = false;
+    const bytes = (): Buffer => Buffer.concat(chunks, size);
+    const takeBytes = (): Buffer => {
+      socket.off('data', onData);
+      socket.pause();
+      return bytes();
+    };
     const finish = (result: FirstRequest | undefined): void => {
       clearTimeout(timer);
-      socket.off('data', onData);
       for (const event of leavingEvents) socket.off(event, onLeft);
+      isDecided = true;
       resolve(result);
     };
     const onData = (chunk: Buffer): void => {
-      bytes = bytes.length === 0 ? chunk : Buffer.concat([bytes, chunk]);
-      const end = bytes.indexOf(headEnd);
-      if (end < 0 && bytes.length < maxHeadBytes) return;
-      socket.pause();
-      finish({ bytes, head: end < 0 ? undefined : parseHead(bytes.toString('latin1', 0, end)) });
+      chunks = [...chunks, chunk];
+      size += chunk.length;
+      if (isDecided) {
+        if (size > maxHeldBytes) socket.pause();
+        return;
+      }
+      const read = bytes();
+      const end = read.indexOf(headEnd);
+      if (end < 0 && size < maxHeadBytes) return;
+      const head = end < 0 ? undefined : parseHead(read.toString('latin1', 0, end));
+      finish({ takeBytes, head });
     };
     const onLeft = (): void => {
+      socket.off('data', onData);
       socket.destroy();
       finish(undefined);
     };
     const timer = setTimeout(() => {
-      socket.pause();
-      finish({ bytes, head: undefined });
+      finish({ takeBytes, head: undefined });
     }, readTimeout);
     socket.on('data', onData);
     for (const event of leavingEvents) socket.on(event, onLeft);
--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -9,22 +9,17 @@
   acceptBacklog,
   exceedsWaitLimit,
   type CallerLimits,
+  type RequestOutcome,
   type Route,
 } from '@catkinwheel/coordination/routing';
 import type { Milliseconds } from '@catkinwheel/state';
 import { AcceptProbe } from './acceptProbe.js';
 import { CallerConnection } from './callerConnection.js';
-import { callerLeft } from './callerLeft.js';
+import { hasLeft } from './callerPresence.js';
 import { nextTurn } from './eventLoopTurn.js';
 import { readFirstRequest, type FirstHead, type FirstRequest } from './firstRequest.js';
 import { sendRawResponse } from './rawResponse.js';
-import {
-  RequestHandler,
-  hostOf,
-  isRetriable,
-  type ConnectionInfo,
-  type RequestDependencies,
-} from './requestHandler.js';
+import { RequestHandler, hostOf, isRetriable, type RequestDependencies } from './requestHandler.js';
 import type { Endpoint, Tunnels } from './tunnels.js';
 import { unreadableResponse } from './unreadableRequest.js';
 
@@ -186,14 +181,19 @@
     this.dependencies.intake.add({
       team: this.#teamOf(first.head),
       earlier: 0,
+      hasLeft: () => hasLeft(socket),
       begin: () => {
         decided();
-        return socket.destroyed ? 0 : this.#handOverOrServe(socket, first, acceptedAt);
+        return this.#handOverOrServe(socket, first, acceptedAt);
       },
       refuse: (retryAfter) => {
         decided();
         this.#refuseRead(socket, first, retryAfter);
       },
+      drop: () => {
+        decided();
+        this.#dropRead(socket, first);
+      },
     });
   }
 
@@ -204,41 +204,54 @@
       this.#serveRead(socket, first, { kind: 'refused', retryAfter });
       return;
     }
-    const { log, metrics, teamCounts, dispatcher } = this.dependencies;
-    const [outcome, reason] = ['refused', 'processorTime'] as const;
-    const team = this.#teamOf(head);
-    metrics.requests.inc({ outcome });
+    const { log, metrics } = this.dependencies;
+    const reason = 'processorTime';
     metrics.refusals.inc({ reason });
-    if (team !== '') teamCounts.record(team, outcome, undefined);
-    const { waiting } = dispatcher;
-    log.write('request', {
-      id: head.id,
-      outcome,
-      reason,
-      status: 503,
-      team,
-      waiting,
-      attempts: [],
-    });
+    this.#recordUnparsed(head, { outcome: 'refused', reason, status: 503 });
+    first.takeBytes();
     socket.on('error', (error) => {
       log.write('refused caller lost', { id: head.id, detail: error.message });
     });
     sendRawResponse(socket, head.id, { status: '503 Service Unavailable', retryAfter });
   }
 
+  /** Ends a request of which only the head was read, since its caller has left. */
+  #dropRead(socket: Socket, { head }: FirstRequest): void {
+    socket.destroy();
+    if (head !== undefined) this.#recordUnparsed(head, { outcome: 'left', reason: 'unread' });
+  }
+
+  /** Counts and logs the end of a request of which only the head was read. */
+  #recordUnparsed(
+    head: FirstHead,
+    end: {
+      readonly outcome: RequestOutcome;
+      readonly reason: string;
+      readonly status?: number;
+    },
+  ): void {
+    const { log, metrics, teamCounts, dispatcher } = this.dependencies;
+    const team = this.#teamOf(head);
+    const { outcome } = end;
+    metrics.requests.inc({ outcome });
+    if (team !== '') teamCounts.record(team, outcome, undefined);
+    const { waiting } = dispatcher;
+    log.write('request', { id: head.id, ...end, team, waiting, attempts: [] });
+  }
+
   /**
    * Hands the connection over to another router if its first request may run there; otherwise serves it here. Returns the work of
    * that.
    */
   #handOverOrServe(socket: Socket, first: FirstRequest, acceptedAt: Milliseconds): number {
     const { stops, faults } = this.dependencies;
-    const { bytes, head } = first;
+    const { head } = first;
     const route = head === undefined ? undefined : this.#routeToHandOver(head, head.path);
     const target =
       route === undefined || stops.isStopping ? undefined : this.handover.selectTarget();
     if (head !== undefined && route !== undefined && target !== undefined) {
       const answerBy = acceptedAt + route.timeout + answerMargin;
-      const request = { bytes, id: head.id, answerBy };
+      const request = { takeBytes: first.takeBytes, id: head.id, answerBy };
       const opened = this.handover.tunnels.open(socket, request, target).then((isOpen) => {
         if (isOpen) this.#countHandover(head);
         else this.#serveRead(socket, first, { kind: 'begun' });
@@ -250,11 +263,14 @@
     return 1;
   }
 
-  /** Serves a connection whose first bytes have been read. */
-  #serveRead(socket: Socket, { bytes }: FirstRequest, decision: Decision): void {
-    if (socket.destroyed) return;
+  /** Serves a connection whose first bytes have been read, unless its caller has left. */
+  #serveRead(socket: Socket, first: FirstRequest, decision: Decision): void {
+    if (hasLeft(socket)) {
+      this.#dropRead(socket, first);
+      return;
+    }
     this.#decided.set(socket, decision);
-    socket.unshift(bytes);
+    socket.unshift(first.takeBytes());
     this.#serveConnection(socket);
     socket.resume();
   }
@@ -330,9 +346,8 @@
       dependencies.metrics.underWay.dec();
     };
     const begin = (): number => {
-      const work = request.destroyed ? 0 : 1;
-      void this.#run(handler, request, info).then(finish);
-      return work;
+      void handler.run().then(finish);
+      return 1;
     };
     const refuse = (retryAfter: Milliseconds): void => {
       connection.recordRefusal(response, dependencies.clock.now(), retryAfter, maxReadPause);
@@ -350,22 +365,17 @@
         this.dependencies.intake.add({
           team: handler.team,
           earlier: connection.requests - 1,
+          hasLeft: () => hasLeft(socket),
           begin,
           refuse,
+          drop: () => {
+            request.destroy();
+            begin();
+          },
         });
     }
   }
 
-  async #run(
-    handler: RequestHandler,
-    request: IncomingMessage,
-    info: ConnectionInfo,
-  ): Promise<void> {
-    // Only the first request of a connection waited in the accept queue. A destroyed request is not sent to a server.
-    if (info.requests === 1 && (await callerLeft(request))) request.destroy();
-    await handler.run();
-  }
-
   /** Bytes on the connection cannot be read, a head did not come in time, or the socket failed. */
   #onClientError(error: NodeJS.ErrnoException, socket: Socket): void {
     const connection = this.#connectionOf(socket);
--- a/packages/gateway/src/intakeLoop.ts
+++ b/packages/gateway/src/intakeLoop.ts
@@ -1,23 +1,32 @@
 // Begins or refuses the requests of an intake in turns of this process's event loop.
 
-import { IntakeTurns, type Intake, type WaitingRequest } from '@catkinwheel/coordination/routing';
+import {
+  Arrivals,
+  IntakeTurns,
+  type Intake,
+  type WaitingRequest,
+} from '@catkinwheel/coordination/routing';
 import type { Clock, Milliseconds } from '@catkinwheel/state';
 import type { Faults } from './faults.js';
 
 /** A request that can be begun or refused. */
 export interface PendingRequest extends WaitingRequest {
-  /** Begins it. Returns the work that follows, as a fraction of that of serving a request here; 0 if its caller has left. */
+  /** Whether its caller has left, as far as its connection has been read. */
+  readonly hasLeft: () => boolean;
+  /** Begins it. Returns the work that follows, as a fraction of that of serving a request here. */
   readonly begin: () => number;
   readonly refuse: (retryAfter: Milliseconds) => void;
+  /** Ends it, since its caller has left. */
+  readonly drop: () => void;
 }
 
 /** What became of requests in the intake. */
 export interface IntakeCounts {
   readonly begun: number;
   readonly refused: number;
-  /** Requests whose callers had left when they were to be begun. */
+  /** Requests whose callers left before they were begun. */
   readonly left: number;
-  /** The longest time that one of the others waited from being read until it was begun. */
+  /** The longest time that one waited from being read until it was begun. */
   readonly longestWait: Milliseconds;
 }
 
@@ -26,6 +35,7 @@
 /** Runs an intake. */
 export class IntakeLoop {
   readonly #turns: IntakeTurns;
+  readonly #arrivals = Arrivals.create<PendingRequest>();
   readonly #readAt = new WeakMap<PendingRequest, Milliseconds>();
   #counts = noCounts;
   #isScheduled = false;
@@ -59,49 +69,71 @@
     return counts;
   }
 
-  /** Has the request begun or refused. */
+  /** Has the request begun, refused or dropped; in a later turn of the event loop, once it is known whether its caller has left. */
   add(request: PendingRequest): void {
     if (request.earlier > 0) this.#turns.recordRead();
     this.#readAt.set(request, this.clock.now());
-    const refused = this.intake.add(request);
-    this.#counts = { ...this.#counts, refused: this.#counts.refused + refused.length };
-    const retryAfter = this.intake.retryAfter();
-    for (const each of refused)
-      this.faults.contain('intake', () => {
-        each.refuse(retryAfter);
-      });
+    this.#arrivals.add(request);
     this.#schedule();
   }
 
   #schedule(): void {
-    if (this.#isScheduled || this.intake.length === 0) return;
+    if (this.#isScheduled || this.intake.length + this.#arrivals.length === 0) return;
     this.#isScheduled = true;
     setImmediate(() => {
       this.#isScheduled = false;
       this.faults.contain('intake', () => {
-        this.#begin(this.#turns.end());
+        this.#endTurn();
       });
       this.#schedule();
     });
   }
 
+  #endTurn(): void {
+    const gone = this.intake.remove((request) => request.hasLeft());
+    for (const request of gone) this.#drop(request);
+    for (const request of this.#arrivals.endTurn()) {
+      if (request.hasLeft()) this.#drop(request);
+      else this.#admit(request);
+    }
+    if (this.intake.length > 0) this.#begin(this.#turns.end());
+  }
+
+  #admit(request: PendingRequest): void {
+    const refused = this.intake.add(request);
+    this.#counts = { ...this.#counts, refused: this.#counts.refused + refused.length };
+    const retryAfter = this.intake.retryAfter();
+    for (const each of refused)
+      this.faults.contain('intake', () => {
+        each.refuse(retryAfter);
+      });
+  }
+
+  #drop(request: PendingRequest): void {
+    this.#counts = { ...this.#counts, left: this.#counts.left + 1 };
+    this.faults.contain('intake', () => {
+      request.drop();
+    });
+  }
+
   /** Begins requests that are the work of `count`. */
   #begin(count: number): void {
     for (let work = 0; work < count;) {
       const next = this.intake.next();
       if (next === undefined) return;
-      const added = next.begin();
-      this.#countBegin(next, added > 0);
-      work += added;
+      this.#countBegin(next);
+      work += next.begin();
     }
   }
 
-  #countBegin(request: PendingRequest, isBegun: boolean): void {
-    const { begun, left, longestWait, ...others } = this.#counts;
+  #countBegin(request: PendingRequest): void {
+    const { begun, longestWait } = this.#counts;
     const now = this.clock.now();
     const wait = now - (this.#readAt.get(request) ?? now);
-    this.#counts = isBegun
-      ? { ...others, left, begun: begun + 1, longestWait: Math.max(longestWait, wait) }
-      : { ...others, begun, longestWait, left: left + 1 };
+    this.#counts = {
+      ...this.#counts,
+      begun: begun + 1,
+      longestWait: Math.max(longestWait, wait),
+    };
   }
 }
--- a/packages/gateway/src/requestHandler.ts
+++ b/packages/gateway/src/requestHandler.ts
@@ -56,6 +56,8 @@
 const silenceTimeout: Milliseconds = 1_300;
 /** Another server is sought for a retriable request when its first bytes are later than predicted by this time. */
 const firstBytesMargin: Milliseconds = 1_500;
+/** Events of a connection whose caller has left. */
+const leavingEvents = ['end', 'close'] as const;
 /** Bounds on reading a discarded response to its end, which keeps its connection reusable. */
 const discardTimeout: Milliseconds = 200;
 /** In bytes. */
@@ -219,8 +221,9 @@
       if (!response.writableFinished) this.#abortController.abort('callerGone');
     };
     response.on('close', onClose);
-    // A pipelined response that is queued behind an earlier one gets no event when its connection closes.
-    socket.on('close', onClose);
+    // A pipelined response that is queued behind an earlier one gets no event when its connection closes. The end of what the
+    // caller sends is read some turns before that.
+    for (const event of leavingEvents) socket.on(event, onClose);
     const unsubscribe = this.dependencies.stops.onChange(() => {
       this.#onPlannedStop();
     });
@@ -236,7 +239,7 @@
         response.destroy();
       }
     } finally {
-      socket.off('close', onClose);
+      for (const event of leavingEvents) socket.off(event, onClose);
       unsubscribe();
       clearTimeout(this.#deadlineTimer);
       clearTimeout(this.#stopTimer);
--- a/packages/gateway/src/tunnels.test.ts
+++ b/packages/gateway/src/tunnels.test.ts
@@ -40,7 +40,7 @@
   const tunnels = Tunnels.create(clock, Log.create(clock, 'router', 'boot'));
   const router = await listen(t, (socket) => {
     socket.pause();
-    const request = { bytes: Buffer.from(first), id: 'request-1', answerBy };
+    const request = { takeBytes: () => Buffer.from(first), id: 'request-1', answerBy };
     void tunnels.open(socket, request, end).then((isOpen) => {
       if (!isOpen) socket.end('served here');
     });
@@ -113,7 +113,7 @@
   });
   const clock = Clock.manual(1_000);
   const tunnels = Tunnels.create(clock, Log.create(clock, 'router', 'boot'));
-  const request = { bytes: Buffer.from('request'), id: 'request-1', answerBy: Infinity };
+  const request = { takeBytes: () => Buffer.from('request'), id: 'request-1', answerBy: Infinity };
   const opened = new Promise<void>((resolve) => {
     void listen(t, (socket) => {
       socket.pause();
--- a/packages/gateway/src/tunnels.ts
+++ b/packages/gateway/src/tunnels.ts
@@ -4,6 +4,7 @@
 
 import { connect, type Socket } from 'node:net';
 import type { Clock, Milliseconds } from '@catkinwheel/state';
+import { hasLeft } from './callerPresence.js';
 import type { Log } from './log.js';
 import { sendRawResponse, type ErrorStatus } from './rawResponse.js';
 
@@ -18,8 +19,8 @@
 
 /** The request on a handed-over connection. */
 export interface RelayedRequest {
-  /** The bytes of it that this router has read. */
-  readonly bytes: Buffer;
+  /** Pauses the caller's connection. Returns the bytes of the request that this router has read. */
+  readonly takeBytes: () => Buffer;
   /** The request id, empty if the request has none. */
   readonly id: string;
   /** When the other router has to have begun its response. */
@@ -29,7 +30,7 @@
 interface Tunnel {
   /** Address of the router at the far end. */
   readonly host: string;
-  readonly request: Omit<RelayedRequest, 'bytes'>;
+  readonly request: Omit<RelayedRequest, 'takeBytes'>;
   readonly remote: Socket;
   /** Whether the response has begun. */
   readonly hasResponse: boolean;
@@ -71,8 +72,8 @@
   }
 
   /**
-   * Connects a caller's paused connection to `end`, which serves the request on it. Resolves with whether that succeeded;
-   * otherwise nothing was passed on, and the connection is unchanged.
+   * Connects a caller's connection to `end`, which serves the request on it. Resolves with whether that succeeded; otherwise
+   * nothing was passed on, and the connection is unchanged. Ends the connection of a caller that has left.
    */
   async open(caller: Socket, request: RelayedRequest, end: Endpoint): Promise<boolean> {
     caller.on('error', (error) => {
@@ -80,13 +81,14 @@
     });
     const remote = await this.#connect(end);
     if (remote === undefined) return false;
-    if (caller.destroyed) {
+    if (hasLeft(caller)) {
       remote.destroy();
+      caller.destroy();
       return true;
     }
     this.#openedCount += 1;
-    const { bytes, id, answerBy } = request;
-    remote.write(bytes);
+    const { takeBytes, id, answerBy } = request;
+    remote.write(takeBytes());
     this.#pipe(caller, { host: end.host, request: { id, answerBy }, remote, hasResponse: false });
     return true;
   }
--- a/packages/standins/src/stack/brokenHeads.test.ts
+++ b/packages/standins/src/stack/brokenHeads.test.ts
@@ -166,7 +166,11 @@
   const tunnels = Tunnels.create(clock, Log.create(clock, 'holder', 'boot'));
   const end = { host, port: Number(port) };
   const listener = createServer({ allowHalfOpen: true }, (socket) => {
-    void tunnels.open(socket, { bytes: Buffer.alloc(0), id: '', answerBy: Infinity }, end);
+    void tunnels.open(
+      socket,
+      { takeBytes: () => Buffer.alloc(0), id: '', answerBy: Infinity },
+      end,
+    );
   });
   listener.listen(0, '127.0.0.1');
   await once(listener, 'listening');
