--- a/packages/coordination/src/routing/intakeTurns.test.ts
+++ b/packages/coordination/src/routing/intakeTurns.test.ts
@@ -33,6 +33,7 @@
     if (isReading) {
       longestWait = Math.max(longestWait, now - arrived);
       turns.recordAccepted();
+      turns.recordReadingTime(reading);
       read += 1;
       pending += 1;
     }
--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -82,7 +82,11 @@
         requestTimeout: 0,
       },
       (request, response) => {
-        this.#serve(request, response);
+        if (this.#decided.has(request.socket)) this.#serve(request, response);
+        else
+          dependencies.intake.read(() => {
+            this.#serve(request, response);
+          });
       },
     );
     this.#server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
@@ -96,7 +100,11 @@
     // Each request in flight listens for the close; a caller may pipeline many.
     this.#server.on('connection', (socket) => socket.setMaxListeners(0));
     this.#listener = createListener({ allowHalfOpen: true, noDelay: true }, (socket) => {
-      this.#accept(socket, probe);
+      const { wait } = this.#acceptQueue;
+      if (!probe.accept(socket)) return;
+      dependencies.intake.accept(() => {
+        this.#accept(socket, wait);
+      });
     });
     const probe = AcceptProbe.create(this.#listener, this.#acceptQueue, dependencies.log);
   }
@@ -140,11 +148,9 @@
     return isBusy ? 0 : this.dependencies.clock.now() - this.#lastFinishedAt;
   }
 
-  #accept(socket: Socket, probe: AcceptProbe): void {
-    const { wait } = this.#acceptQueue;
-    if (!probe.accept(socket)) return;
+  /** Takes a connection that had to wait for about `wait` until it was accepted. */
+  #accept(socket: Socket, wait: Milliseconds): void {
     this.#acceptedCount += 1;
-    this.dependencies.intake.recordAccepted();
     const { isStopping } = this.dependencies.stops;
     if (exceedsWaitLimit(wait)) this.#longWaits.set(socket, wait);
     else if (!isStopping && (this.handover.isActive() || this.dependencies.intake.isStanding)) {
--- a/packages/gateway/src/intakeLoop.ts
+++ b/packages/gateway/src/intakeLoop.ts
@@ -57,9 +57,20 @@
     return this.intake.isStanding;
   }
 
-  /** Counts a connection that was accepted in this turn. */
-  recordAccepted(): void {
+  /** Runs the acceptance of a connection. */
+  accept(work: () => void): void {
     this.#turns.recordAccepted();
+    this.read(work);
+  }
+
+  /** Runs a part of the work that reading or refusing a request takes. */
+  read(work: () => void): void {
+    const start = this.clock.now();
+    try {
+      work();
+    } finally {
+      this.#turns.recordReadingTime(this.clock.now() - start);
+    }
   }
 
   /** What became of requests since the last call; starts anew. */
@@ -90,13 +101,16 @@
   }
 
   #endTurn(): void {
-    const gone = this.intake.remove((request) => request.hasLeft());
-    for (const request of gone) this.#drop(request);
-    for (const request of this.#arrivals.endTurn()) {
-      if (request.hasLeft()) this.#drop(request);
-      else this.#admit(request);
-    }
+    this.read(() => {
+      const gone = this.intake.remove((request) => request.hasLeft());
+      for (const request of gone) this.#drop(request);
+      for (const request of this.#arrivals.endTurn()) {
+        if (request.hasLeft()) this.#drop(request);
+        else this.#admit(request);
+      }
+    });
     if (this.intake.length > 0) this.#begin(this.#turns.end());
+    else this.#turns.rest();
   }
 
   #admit(request: PendingRequest): void {
