--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -46,10 +46,15 @@
 /** Work of handing a connection over, as a fraction of that of serving a request. */
 const handoverWork = 1 / 8;
 
-/** What the intake has decided on a request. */
+/** What the intake has decided on a request that was read before it was parsed. */
 type Decision =
   { readonly kind: 'begun' } | { readonly kind: 'refused'; readonly retryAfter: Milliseconds };
 
+interface DecidedRequest {
+  readonly decision: Decision;
+  readonly arrivedAt: Milliseconds;
+}
+
 /** Accepts callers' connections and serves each request with a `RequestHandler`. */
 export class Frontend {
   /** Accepts callers' connections. */
@@ -63,7 +68,9 @@
   readonly #longWaits = new WeakMap<Socket, Milliseconds>();
   readonly #connections = new WeakMap<Socket, CallerConnection>();
   /** What was decided on the first request of a connection before it was parsed. */
-  readonly #decided = new WeakMap<Socket, Decision>();
+  readonly #decided = new WeakMap<Socket, DecidedRequest>();
+  /** When connections were accepted whose first bytes, if they had come by then, have not been read yet. */
+  readonly #justAccepted = new WeakMap<Socket, Milliseconds>();
   #connectionCount = 0;
   #acceptedCount = 0;
   #underWay = 0;
@@ -151,6 +158,8 @@
   /** Takes a connection that had to wait for about `wait` until it was accepted. */
   #accept(socket: Socket, wait: Milliseconds): void {
     this.#acceptedCount += 1;
+    this.#justAccepted.set(socket, this.dependencies.clock.now());
+    void nextTurn().then(() => this.#justAccepted.delete(socket));
     const { isStopping } = this.dependencies.stops;
     if (exceedsWaitLimit(wait)) this.#longWaits.set(socket, wait);
     else if (!isStopping && (this.handover.isActive() || this.dependencies.intake.isStanding)) {
@@ -170,9 +179,9 @@
    * what refusing it costs.
    */
   async #readAndDecide(socket: Socket): Promise<void> {
-    const acceptedAt = this.dependencies.clock.now();
     const first = await readFirstRequest(socket);
     if (first === undefined) return;
+    const arrivedAt = this.#arrivalOf(socket);
     // A connection without a listener would end this process with its error.
     const onError = (): void => {
       socket.destroy();
@@ -190,11 +199,11 @@
       hasLeft: () => hasLeft(socket),
       begin: () => {
         decided();
-        return this.#handOverOrServe(socket, first, acceptedAt);
+        return this.#handOverOrServe(socket, first, arrivedAt);
       },
       refuse: (retryAfter) => {
         decided();
-        this.#refuseRead(socket, first, retryAfter);
+        this.#refuseRead(socket, first, arrivedAt, retryAfter);
       },
       drop: () => {
         decided();
@@ -204,10 +213,15 @@
   }
 
   /** Refuses a request of which only the head was read. */
-  #refuseRead(socket: Socket, first: FirstRequest, retryAfter: Milliseconds): void {
+  #refuseRead(
+    socket: Socket,
+    first: FirstRequest,
+    arrivedAt: Milliseconds,
+    retryAfter: Milliseconds,
+  ): void {
     const { head } = first;
     if (head === undefined) {
-      this.#serveRead(socket, first, { kind: 'refused', retryAfter });
+      this.#serveRead(socket, first, { decision: { kind: 'refused', retryAfter }, arrivedAt });
       return;
     }
     const { log, metrics } = this.dependencies;
@@ -249,33 +263,34 @@
    * Hands the connection over to another router if its first request may run there; otherwise serves it here. Returns the work of
    * that.
    */
-  #handOverOrServe(socket: Socket, first: FirstRequest, acceptedAt: Milliseconds): number {
+  #handOverOrServe(socket: Socket, first: FirstRequest, arrivedAt: Milliseconds): number {
+    const decided: DecidedRequest = { decision: { kind: 'begun' }, arrivedAt };
     const { stops, faults } = this.dependencies;
     const { head } = first;
     const route = head === undefined ? undefined : this.#routeToHandOver(head, head.path);
     const target =
       route === undefined || stops.isStopping ? undefined : this.handover.selectTarget();
     if (head !== undefined && route !== undefined && target !== undefined) {
-      const answerBy = acceptedAt + route.timeout + answerMargin;
+      const answerBy = arrivedAt + route.timeout + answerMargin;
       const request = { takeBytes: first.takeBytes, id: head.id, answerBy };
       const opened = this.handover.tunnels.open(socket, request, target).then((isOpen) => {
         if (isOpen) this.#countHandover(head);
-        else this.#serveRead(socket, first, { kind: 'begun' });
+        else this.#serveRead(socket, first, decided);
       });
       faults.watch('intake', opened);
       return handoverWork;
     }
-    this.#serveRead(socket, first, { kind: 'begun' });
+    this.#serveRead(socket, first, decided);
     return 1;
   }
 
   /** Serves a connection whose first bytes have been read, unless its caller has left. */
-  #serveRead(socket: Socket, first: FirstRequest, decision: Decision): void {
+  #serveRead(socket: Socket, first: FirstRequest, decided: DecidedRequest): void {
     if (hasLeft(socket)) {
       this.#dropRead(socket, first);
       return;
     }
-    this.#decided.set(socket, decision);
+    this.#decided.set(socket, decided);
     socket.unshift(first.takeBytes());
     this.#serveConnection(socket);
     socket.resume();
@@ -315,6 +330,11 @@
     return this.#acceptedHere.has(socket) ? undefined : socket.remoteAddress;
   }
 
+  /** When the request that has just been read can have arrived: one that came with its connection waited for a turn to be read. */
+  #arrivalOf(socket: Socket): Milliseconds {
+    return this.#justAccepted.get(socket) ?? this.dependencies.clock.now();
+  }
+
   #serve(request: IncomingMessage, response: ServerResponse): void {
     const { dependencies } = this;
     const { socket } = request;
@@ -327,7 +347,10 @@
       request.resume();
       return;
     }
+    const decided = this.#decided.get(socket);
+    this.#decided.delete(socket);
     const info = {
+      arrivedAt: decided?.arrivedAt ?? this.#arrivalOf(socket),
       number: connection.number,
       requests: connection.requests + 1,
       via: connection.via,
@@ -342,8 +365,6 @@
       handler.refuseAfterAcceptWait(wait);
       return;
     }
-    const decision = this.#decided.get(socket);
-    this.#decided.delete(socket);
     this.#underWay += 1;
     dependencies.metrics.underWay.inc();
     const finish = (): void => {
@@ -360,12 +381,12 @@
       handler.refuseForProcessorTime(retryAfter);
       finish();
     };
-    switch (decision?.kind) {
+    switch (decided?.decision.kind) {
       case 'begun':
         begin();
         return;
       case 'refused':
-        refuse(decision.retryAfter);
+        refuse(decided.decision.retryAfter);
         return;
       case undefined:
         this.dependencies.intake.add({
--- a/packages/gateway/src/requestHandler.ts
+++ b/packages/gateway/src/requestHandler.ts
@@ -113,6 +113,8 @@
 
 /** The connection of a request and the request's place on it. */
 export interface ConnectionInfo {
+  /** When the request arrived, from which its route's timeout counts. */
+  readonly arrivedAt: Milliseconds;
   /** Number of the connection, counted from the start of this router. */
   readonly number: number;
   /** Requests on the connection so far, this one included. */
@@ -171,7 +173,7 @@
     private readonly response: ServerResponse,
     private readonly connection: ConnectionInfo,
   ) {
-    this.#arrivedAt = dependencies.clock.now();
+    this.#arrivedAt = connection.arrivedAt;
     this.#head = decodeRequestHead(request.headers);
     this.#callerResponse = CallerResponse.create(
       response,
