--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -105,7 +105,10 @@
       void closeUnlessRead(socket);
     });
     // Each request in flight listens for the close; a caller may pipeline many.
-    this.#server.on('connection', (socket) => socket.setMaxListeners(0));
+    this.#server.on('connection', (socket) => {
+      socket.setMaxListeners(0);
+      if (!this.#acceptedHere.has(socket)) this.#recordAccepted(socket);
+    });
     this.#listener = createListener({ allowHalfOpen: true, noDelay: true }, (socket) => {
       const { wait } = this.#acceptQueue;
       if (!probe.accept(socket)) return;
@@ -158,8 +161,7 @@
   /** Takes a connection that had to wait for about `wait` until it was accepted. */
   #accept(socket: Socket, wait: Milliseconds): void {
     this.#acceptedCount += 1;
-    this.#justAccepted.set(socket, this.dependencies.clock.now());
-    void nextTurn().then(() => this.#justAccepted.delete(socket));
+    this.#recordAccepted(socket);
     const { isStopping } = this.dependencies.stops;
     if (exceedsWaitLimit(wait)) this.#longWaits.set(socket, wait);
     else if (!isStopping && (this.handover.isActive() || this.dependencies.intake.isStanding)) {
@@ -169,6 +171,11 @@
     this.#serveConnection(socket);
   }
 
+  #recordAccepted(socket: Socket): void {
+    this.#justAccepted.set(socket, this.dependencies.clock.now());
+    void nextTurn().then(() => this.#justAccepted.delete(socket));
+  }
+
   #serveConnection(socket: Socket): void {
     this.#acceptedHere.add(socket);
     this.#server.emit('connection', socket);
@@ -182,6 +189,7 @@
     const first = await readFirstRequest(socket);
     if (first === undefined) return;
     const arrivedAt = this.#arrivalOf(socket);
+    const waitedUnread = this.#justAccepted.has(socket);
     // A connection without a listener would end this process with its error.
     const onError = (): void => {
       socket.destroy();
@@ -196,6 +204,7 @@
     this.dependencies.intake.add({
       team: this.#teamOf(first.head),
       earlier: 0,
+      waitedUnread,
       hasLeft: () => hasLeft(socket),
       begin: () => {
         decided();
@@ -392,6 +401,7 @@
         this.dependencies.intake.add({
           team: handler.team,
           earlier: connection.requests - 1,
+          waitedUnread: this.#justAccepted.has(socket),
           hasLeft: () => hasLeft(socket),
           begin,
           refuse,
--- a/packages/gateway/src/intakeLoop.test.ts
+++ b/packages/gateway/src/intakeLoop.test.ts
@@ -42,6 +42,7 @@
       loop.add({
         team: '',
         earlier: 0,
+        waitedUnread: true,
         hasLeft: () => hasLeft(socket),
         begin: () => {
           end(false);
--- a/packages/gateway/src/intakeLoop.ts
+++ b/packages/gateway/src/intakeLoop.ts
@@ -11,6 +11,8 @@
 
 /** A request that can be begun or refused. */
 export interface PendingRequest extends WaitingRequest {
+  /** Whether it may have waited for long until it was read, so that its caller may have left before. */
+  readonly waitedUnread: boolean;
   /** Whether its caller has left, as far as its connection has been read. */
   readonly hasLeft: () => boolean;
   /** Begins it. Returns the work that follows, as a fraction of that of serving a request here. */
@@ -80,11 +82,12 @@
     return counts;
   }
 
-  /** Has the request begun, refused or dropped; in a later turn of the event loop, once it is known whether its caller has left. */
+  /** Has the request begun, refused or dropped; one that waited unread in a later turn, once it is known whether its caller has left. */
   add(request: PendingRequest): void {
     if (request.earlier > 0) this.#turns.recordRead();
     this.#readAt.set(request, this.clock.now());
-    this.#arrivals.add(request);
+    if (request.waitedUnread) this.#arrivals.add(request);
+    else this.#admit(request);
     this.#schedule();
   }
 
