--- a/packages/standins/src/stack/longTurns.test.ts
+++ b/packages/standins/src/stack/longTurns.test.ts
@@ -26,6 +26,21 @@
   assert.ok(result.whole >= leastPart * result.sent, `too little served: ${told}`);
 });
 
+// Guards against GONE of issue 45: connections wait in the accept queue for longer than their callers do, so that all that is accepted is
+// too old to be served.
+test('a router with turns of 60 ms that is asked for three times what it can accept serves half of that', async (t) => {
+  const [turn, duration] = [60, 6_000];
+  const small = await SmallVm.startFor(t, capacity, { turn });
+  await small.hasLongTurns();
+  const acceptable = 1_000 / turn;
+  const result = await small.flood(3 * acceptable, duration);
+  const told = JSON.stringify(result);
+  t.diagnostic(told);
+  assert.equal(result.late, 0, `sent on after their callers had left: ${told}`);
+  const owed = (leastPart * acceptable * duration) / 1_000;
+  assert.ok(result.whole >= owed, `too little served, ${owed.toFixed(0)} are owed: ${told}`);
+});
+
 // Guards against CONFIG of issue 45: a route's timeout that counts from the turn in which a request is begun.
 test('a router with turns of 200 ms answers within half a second of the timeout of a route', async (t) => {
   const small = await SmallVm.startFor(t, capacity, { turn: 200, silent: true });
