--- a/packages/gateway/src/requestHandler.ts
+++ b/packages/gateway/src/requestHandler.ts
@@ -47,7 +47,7 @@
 import type { Metrics } from './metrics.js';
 import { readBody } from './requestBody.js';
 import { SilenceWatch, type ServerSearch } from './silenceWatch.js';
-import type { Outgoing, ServerConnections } from './serverConnections.js';
+import type { Cancellation, Outgoing, ServerConnections } from './serverConnections.js';
 
 /**
  * Another server is sought for a retriable response without bytes for this time, or for the rest of it if it is a stream;
@@ -469,7 +469,10 @@
         grant.silent();
       },
     );
-    const signal = this.#attemptSignal(route, silenceController.signal);
+    const cancellation: Cancellation = {
+      aborted: this.#attemptSignal(route, silenceController.signal),
+      withdrawn: this.#abortController.signal,
+    };
     const headers = encodeServerHeaders(this.request.headers, {
       server: server.id,
       team: this.#team?.name,
@@ -530,7 +533,7 @@
     };
     let attempt: AttemptOutcome | undefined;
     try {
-      attempt = await this.#forwardResponse(options, outgoing, signal, callbacks);
+      attempt = await this.#forwardResponse(options, outgoing, cancellation, callbacks);
     } finally {
       watch.clear();
       clearTimeout(discardTimer);
@@ -558,7 +561,7 @@
   async #forwardResponse(
     { route, grant, mayRetry, answer }: AttemptOptions,
     outgoing: Outgoing,
-    signal: AbortSignal,
+    cancellation: Cancellation,
     callbacks: {
       /** The server said something about itself in the head of a response. */
       readonly notice: (notice: ServerNotice) => void;
@@ -573,6 +576,7 @@
     },
   ): Promise<AttemptOutcome> {
     const { connections } = this.dependencies;
+    const { aborted: signal } = cancellation;
     let run: RunResponse | undefined;
     let status = 0;
     let discard: AttemptOutcome | undefined;
@@ -589,7 +593,12 @@
       if (notice !== undefined) callbacks.notice(notice);
       return !belongsToOtherRequest(factsOf(code, headers));
     };
-    for await (const part of connections.send(grant.server, outgoing, signal, isOwnResponse)) {
+    for await (const part of connections.send(
+      grant.server,
+      outgoing,
+      cancellation,
+      isOwnResponse,
+    )) {
       switch (part.kind) {
         case 'head': {
           ({ status } = part);
@@ -645,7 +654,7 @@
           return { kind: 'delivered', status };
         }
         case 'failed':
-          return this.#failedAttempt(part.failure, signal, discard ?? replacedBy());
+          return this.#failedAttempt(part.failure, cancellation, discard ?? replacedBy());
         case 'events':
         case 'alive':
           // Not used: bodies are requested as bytes.
@@ -654,7 +663,7 @@
     }
     return this.#failedAttempt(
       mayHaveRun('connectionLost', 'the connection ended'),
-      signal,
+      cancellation,
       discard ?? replacedBy(),
     );
   }
@@ -662,10 +671,11 @@
   /** `known` is what the attempt came to before it failed. */
   #failedAttempt(
     { verdict, reason, detail }: Failure,
-    signal: AbortSignal,
+    { aborted, withdrawn }: Cancellation,
     known: AttemptOutcome | undefined,
   ): AttemptOutcome {
     if (known !== undefined) return known;
+    const signal = verdict === 'notRun' && withdrawn.aborted ? withdrawn : aborted;
     if (signal.aborted) {
       const cause = signal.reason as AbortCause;
       return { kind: 'ended', cause };
@@ -690,7 +700,7 @@
     this.#callerResponse.reply(status, reason, headers, status === statuses.tooLarge);
   }
 
-  /** Aborts at the deadline, on silence, and when the caller has left unless the request is non-idempotent. */
+  /** Aborts at the deadline, on silence, and when the caller has left unless the request is non-idempotent and may run. */
   #attemptSignal(route: Route, silence: AbortSignal): AbortSignal {
     const attempt = new AbortController();
     const stop = (reason: unknown): void => {
--- a/packages/gateway/src/serverConnections.ts
+++ b/packages/gateway/src/serverConnections.ts
@@ -24,6 +24,14 @@
   readonly body: Buffer | null;
 }
 
+/** What ends a request before its response is complete. */
+export interface Cancellation {
+  /** Closes the connection, on which most servers stop. */
+  readonly aborted: AbortSignal;
+  /** Ends the request only as long as no byte of it can have left. */
+  readonly withdrawn: AbortSignal;
+}
+
 /** Pools by the key of their instances. */
 export class ServerConnections {
   readonly #pools = new Map<string, ServerPool>();
@@ -37,16 +45,27 @@
   }
 
   /**
-   * Sends a request once. A failure has the verdict `notRun` exactly if no byte of the request can have left. Aborting
-   * `signal` closes the connection, on which most servers stop; so does a response for which `isOwnResponse` is false.
+   * Sends a request once. A failure has the verdict `notRun` exactly if no byte of the request can have left. A response
+   * for which `isOwnResponse` is false closes the connection.
    */
   send(
     server: ServerInstance,
     request: Outgoing,
-    signal: AbortSignal,
+    { aborted, withdrawn }: Cancellation,
     isOwnResponse: ResponseMatcher,
   ): AsyncGenerator<ResponsePart, void, void> {
-    const exchange = Exchange.create(request.method, false, signal, () => undefined, isOwnResponse);
+    const exchange = Exchange.create(
+      request.method,
+      false,
+      aborted,
+      () => undefined,
+      isOwnResponse,
+    );
+    const withdraw = (): void => {
+      exchange.withdraw();
+    };
+    if (withdrawn.aborted) withdraw();
+    else withdrawn.addEventListener('abort', withdraw, { once: true });
     this.#pool(server).send(request, exchange);
     return exchange.parts();
   }
--- a/packages/transport/src/exchange.ts
+++ b/packages/transport/src/exchange.ts
@@ -103,6 +103,11 @@
     this.#received = received;
   }
 
+  /** Ends the exchange with the verdict `notRun`, unless a byte of the request may have been sent. */
+  withdraw(): void {
+    if (!this.#mayBeSent) this.#fail(new Error('withdrawn'));
+  }
+
   /** The parts of the response; the last one is `end` or `failed`. */
   async *parts(): AsyncGenerator<ResponsePart, void, void> {
     try {
