--- a/packages/coordination/src/routing/acceptQueue.test.ts
+++ b/packages/coordination/src/routing/acceptQueue.test.ts
@@ -15,12 +15,16 @@
 }
 
 const thirdOfCore: Vm = { serving: 8, refusing: 1.5 };
+/** A third of a core whose turns are long for other reasons than requests. */
+const longTurns: Vm = { serving: 60, refusing: 60 };
 /** A VM with a twentieth of the speed of the core that it states. */
 const twentieth: Vm = { serving: 100, refusing: 19 };
 /** Time after which a caller abandons a request. */
 const callerTimeout: Milliseconds = 1_000;
 /** Max time after its caller has left at which a request may be sent on. */
 const lateAfter: Milliseconds = 500;
+/** Time after which a probe that is not in the queue is given up. */
+const probeTimeout: Milliseconds = 200;
 
 interface Outcome {
   readonly served: number;
@@ -39,6 +43,8 @@
   readonly refuses: boolean;
   /** Whether the router checks that the caller is still connected before it serves the request. */
   readonly checksCallers?: boolean;
+  /** Whether the queue gets a new length when it should. */
+  readonly adjusts?: boolean;
   readonly vm?: Vm;
   /** Time for which the VM is frozen at the start. */
   readonly freezeTime?: Milliseconds;
@@ -46,11 +52,18 @@
   readonly burstInterval?: Milliseconds;
 }
 
-/** Simulates arrivals at `rate` a second for ten seconds, with a queue of `backlog` connections. */
+/** Simulates arrivals at `rate` a second for ten seconds, with a queue of `backlog` connections at first. */
 async function simulate(
   rate: number,
   backlog: number,
-  { refuses, checksCallers = false, vm = thirdOfCore, freezeTime = 0, burstInterval = 0 }: Plan,
+  {
+    refuses,
+    checksCallers = false,
+    adjusts = false,
+    vm = thirdOfCore,
+    freezeTime = 0,
+    burstInterval = 0,
+  }: Plan,
 ): Promise<Outcome> {
   const clock = Clock.manual(1_000);
   const start = clock.now();
@@ -58,6 +71,8 @@
   const waiting: (Milliseconds | 'probe')[] = [];
   const arrivals = Arrivals.create<Milliseconds>();
   let arrived = 0;
+  /** When the probe that a full queue did not take is given up. */
+  let probeRejection = Infinity;
   let [served, refused, rejected, left, late, longestWait] = [0, 0, 0, 0, 0, 0];
   const serve = async (arrival: Milliseconds, work: Milliseconds): Promise<void> => {
     const wait = clock.now() - arrival;
@@ -77,9 +92,13 @@
   await clock.advance(freezeTime);
   while (clock.now() - start < 10_000) {
     for (; arrivalOf(arrived) < clock.now(); arrived += 1) {
-      if (waiting.length < backlog) waiting.push(arrivalOf(arrived));
+      if (waiting.length < queue.length) waiting.push(arrivalOf(arrived));
       else rejected += 1;
     }
+    if (clock.now() >= probeRejection) {
+      probeRejection = Infinity;
+      queue.probeRejected();
+    }
     for (const arrival of arrivals.endTurn()) {
       if (clock.now() - arrival > callerTimeout) left += 1;
       else await serve(arrival, vm.serving - vm.refusing);
@@ -93,13 +112,15 @@
     if (next === 'probe') queue.probeAccepted();
     else queue.callerAccepted();
     if (queue.startProbe()) {
-      if (waiting.length < backlog) {
+      if (waiting.length < queue.length) {
         queue.probeQueued();
         waiting.push('probe');
       } else {
-        queue.probeFailed();
+        probeRejection = clock.now() + probeTimeout;
       }
     }
+    const length = adjusts ? queue.newLength() : undefined;
+    if (length !== undefined) queue.setLength(length);
     if (next === 'probe') continue;
     if (refuses && isOld) {
       refused += 1;
@@ -171,9 +192,87 @@
   assert.ok(served >= (0.5 * 10_000) / twentieth.serving, `${served} served`);
 });
 
+// Guards against a queue that is short in connections and long in time: all that is accepted has waited for longer than its
+// caller, and is refused or dropped (issue 45).
+test('a VM whose turns are long serves half of what it can accept at three times that load', async () => {
+  const plan = { refuses: true, checksCallers: true, vm: longTurns };
+  const acceptable = 10_000 / longTurns.serving;
+  const rate = (3 * acceptable) / 10;
+  const fixed = await simulate(rate, acceptBacklog(cores), plan);
+  assert.ok(fixed.served < acceptable / 4, `${fixed.served} served with a fixed length`);
+  const { served, left } = await simulate(rate, acceptBacklog(cores), { ...plan, adjusts: true });
+  assert.ok(served >= acceptable / 2, `${served} of ${acceptable} served`);
+  assert.ok(left <= acceptBacklog(cores), `${left} left`);
+});
+
+// Guards against a queue that stays short once turns are: bursts that could be served would be rejected.
+test('a queue that was shortened gets its length back when turns are short', async () => {
+  const clock = Clock.manual();
+  const queue = AcceptQueue.create(clock, 20);
+  /** Accepts `count` connections in turns of this length, while others wait. */
+  const accept = async (count: number, turn: Milliseconds): Promise<void> => {
+    for (let index = 0; index < count; index += 1) {
+      if (queue.startProbe()) queue.probeQueued();
+      await clock.advance(turn);
+      queue.callerAccepted();
+      const length = queue.newLength();
+      if (length !== undefined) queue.setLength(length);
+    }
+  };
+  await accept(100, 60);
+  assert.ok(queue.length <= 10, `${queue.length} connections at turns of 60 ms`);
+  await accept(200, 10);
+  assert.equal(queue.length, 20);
+});
+
+// Guards against taking a probe for lost that waits behind connections which came before the queue was shortened.
+test('a probe may wait behind as many connections as the queue held before', async () => {
+  const clock = Clock.manual();
+  const queue = AcceptQueue.create(clock, 20);
+  for (let index = 0; index < 5; index += 1) queue.callerAccepted();
+  queue.setLength(4);
+  assert.ok(queue.startProbe());
+  queue.probeQueued();
+  for (let index = 0; index < 19; index += 1) {
+    await clock.advance(100);
+    queue.callerAccepted();
+  }
+  queue.probeAccepted();
+  assert.equal(queue.wait, 1_900);
+});
+
+// Guards against rejecting connections for a single pause of the process.
+test('the queue keeps its length when a VM has been frozen once', async () => {
+  const clock = Clock.manual();
+  const queue = AcceptQueue.create(clock, 20);
+  for (let index = 0; index < 5; index += 1) queue.callerAccepted();
+  assert.ok(queue.startProbe());
+  queue.probeQueued();
+  await clock.advance(2_500);
+  queue.probeAccepted();
+  assert.equal(queue.newLength(), undefined);
+});
+
+// Guards against accepting connections from a full queue as if they had not waited.
+test('the wait in a queue that rejects a probe is told from the length of turns', async () => {
+  const clock = Clock.manual();
+  const queue = AcceptQueue.create(clock, 20);
+  for (let index = 0; index < 5; index += 1) queue.callerAccepted();
+  assert.ok(queue.startProbe());
+  for (let index = 0; index < 200; index += 1) {
+    await clock.advance(20);
+    queue.callerAccepted();
+  }
+  queue.probeRejected();
+  assert.ok(Math.abs(queue.wait - 400) < 20, `${queue.wait} ms`);
+});
+
 test('no connection is rejected or refused at nine tenths of the capacity', async () => {
-  const { refused, rejected } = await simulate(0.9 * rate, acceptBacklog(cores), { refuses: true });
-  assert.deepEqual({ refused, rejected }, { refused: 0, rejected: 0 });
+  for (const adjusts of [false, true]) {
+    const plan = { refuses: true, adjusts };
+    const { refused, rejected } = await simulate(0.9 * rate, acceptBacklog(cores), plan);
+    assert.deepEqual({ refused, rejected }, { refused: 0, rejected: 0 });
+  }
 });
 
 // Guards against unfairness and slow responses at a router that is not saturated: a caller that finds the queue full
--- a/packages/gateway/src/acceptProbe.ts
+++ b/packages/gateway/src/acceptProbe.ts
@@ -3,6 +3,7 @@
 import { connect, type AddressInfo, type Server, type Socket } from 'node:net';
 import type { AcceptQueue } from '@catkinwheel/coordination/routing';
 import type { Milliseconds } from '@catkinwheel/state';
+import { nextTurn } from './eventLoopTurn.js';
 import type { Log } from './log.js';
 
 /** A probe that is not connected by then was rejected by a full queue; TCP would retry it only after a second or more. */
@@ -55,12 +56,13 @@
       if (this.#socket === socket) this.#probeConnected(socket);
     });
     socket.on('timeout', () => {
-      if (this.#socket === socket) this.#probeFailed();
+      void this.#rejectUnlessConnected(socket);
     });
     socket.on('error', (error) => {
       if (this.#socket !== socket) return;
       this.log.write('probe failed', { detail: error.message });
-      this.#probeFailed();
+      this.queue.probeFailed();
+      this.#close();
     });
   }
 
@@ -79,8 +81,11 @@
     this.#close();
   }
 
-  #probeFailed(): void {
-    this.queue.probeFailed();
+  /** After a turn that is longer than the timeout, the timer runs before the event of the connection. */
+  async #rejectUnlessConnected(socket: Socket): Promise<void> {
+    await nextTurn();
+    if (this.#socket !== socket || !socket.connecting) return;
+    this.queue.probeRejected();
     this.#close();
   }
 
--- /dev/null
+++ b/packages/gateway/src/callerListener.test.ts
@@ -0,0 +1,69 @@
+// More connections wait than can be accepted in time, so that the queue is shortened while they wait.
+
+import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import { connect, createServer, type AddressInfo, type Socket } from 'node:net';
+import { test } from 'node:test';
+import { setTimeout as pause } from 'node:timers/promises';
+import { AcceptQueue } from '@catkinwheel/coordination/routing';
+import { Clock, type Milliseconds } from '@catkinwheel/state';
+import { CallerListener } from './callerListener.js';
+import { Log } from './log.js';
+
+const host = '127.0.0.1';
+const longest = 20;
+/** Time of a turn by the clock of the queue. */
+const turn: Milliseconds = 60;
+/** Time in which all that waits is accepted; a connection that was not taken is tried again after 1 s. */
+const acceptTime = 300;
+
+async function freePort(): Promise<number> {
+  const server = createServer().listen({ host, port: 0 });
+  await once(server, 'listening');
+  const { port } = server.address() as AddressInfo;
+  server.close();
+  return port;
+}
+
+// Guards against connections that wait for longer than their callers because turns have become long, and against a reset of those that
+// wait when the length of the queue changes.
+test('a queue that is shortened keeps what waits, and takes no more than its new length', async (t) => {
+  const clock = Clock.manual();
+  const queue = AcceptQueue.create(clock, longest);
+  const log = Log.create(Clock.system(), 'router', 'boot');
+  const listener = CallerListener.create(queue, log, (socket) => {
+    clock.jump(turn);
+    socket.on('error', () => undefined);
+  });
+  const port = await freePort();
+  await listener.listen({ host, port });
+  const sockets: Socket[] = [];
+  t.after(() => {
+    listener.close();
+    for (const socket of sockets) socket.destroy();
+  });
+  let failed = 0;
+  /** Opens connections at once, and returns how many of them the operating system takes. */
+  const open = async (count: number): Promise<number> => {
+    let taken = 0;
+    for (let index = 0; index < count; index += 1) {
+      const socket = connect({ host, port });
+      socket.on('connect', () => {
+        taken += 1;
+      });
+      socket.on('error', () => {
+        failed += 1;
+      });
+      sockets.push(socket);
+    }
+    await pause(acceptTime);
+    return taken;
+  };
+  assert.equal(await open(longest), longest);
+  const { length } = queue;
+  assert.ok(length <= longest / 2, `length ${length}`);
+  const taken = await open(longest);
+  // The probe may have a place, and the operating system may take two more than the length.
+  assert.ok(taken >= length - 1 && taken <= length + 2, `${taken} taken, length ${length}`);
+  assert.equal(failed, 0);
+});
--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -3,7 +3,7 @@
 // meanwhile is dropped.
 
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import { createServer as createListener, type Server as Listener, type Socket } from 'node:net';
+import type { Socket } from 'node:net';
 import {
   AcceptQueue,
   acceptBacklog,
@@ -13,8 +13,8 @@
   type Route,
 } from '@catkinwheel/coordination/routing';
 import type { Milliseconds } from '@catkinwheel/state';
-import { AcceptProbe } from './acceptProbe.js';
 import { CallerConnection } from './callerConnection.js';
+import { CallerListener, listen } from './callerListener.js';
 import { hasLeft } from './callerPresence.js';
 import { nextTurn } from './eventLoopTurn.js';
 import { readFirstRequest, type FirstHead, type FirstRequest } from './firstRequest.js';
@@ -58,7 +58,7 @@
 /** Accepts callers' connections and serves each request with a `RequestHandler`. */
 export class Frontend {
   /** Accepts callers' connections. */
-  readonly #listener: Listener;
+  readonly #listener: CallerListener;
   /** Serves all connections, and listens for those that other routers hand over. */
   readonly #server: Server;
   /** Connections that this router accepted from callers itself. */
@@ -109,14 +109,12 @@
       socket.setMaxListeners(0);
       if (!this.#acceptedHere.has(socket)) this.#recordAccepted(socket);
     });
-    this.#listener = createListener({ allowHalfOpen: true, noDelay: true }, (socket) => {
-      const { wait } = this.#acceptQueue;
-      if (!probe.accept(socket)) return;
-      dependencies.intake.accept(() => {
+    const { log, intake } = dependencies;
+    this.#listener = CallerListener.create(this.#acceptQueue, log, (socket, wait) => {
+      intake.accept(() => {
         this.#accept(socket, wait);
       });
     });
-    const probe = AcceptProbe.create(this.#listener, this.#acceptQueue, dependencies.log);
   }
 
   /** `capacity` is the speed of the VM, in cores. */
@@ -126,9 +124,8 @@
 
   /** Listens for callers at `callers`, and for handed-over connections at `own`. Rejects if one is in use. */
   async listen(callers: Endpoint, own: Endpoint): Promise<void> {
-    const backlog = acceptBacklog(this.capacity);
-    await listen(this.#server, own, backlog);
-    await listen(this.#listener, callers, backlog);
+    await listen(this.#server, own, acceptBacklog(this.capacity));
+    await this.#listener.listen(callers);
   }
 
   /** Applies the limits of the desired state to later use of connections. */
@@ -456,13 +453,3 @@
   await nextTurn();
   if (socket.bytesRead === bytesRead) socket.destroy();
 }
-
-function listen(server: Listener, { host, port }: Endpoint, backlog: number): Promise<void> {
-  return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen({ host, port, backlog }, () => {
-      server.off('error', reject);
-      resolve();
-    });
-  });
-}
