--- a/packages/coordination/src/routing/intakeTurns.ts
+++ b/packages/coordination/src/routing/intakeTurns.ts
@@ -2,13 +2,14 @@
 // are turns, or callers on kept connections ask again as soon as they are refused. A turn accepts one connection, however many wait
 // in the operating system, reads all kept ones, and lasts as long as all work in it. What has not been read cannot be put in order,
 // and what is read beyond what can be served only takes time from that. So while more connections are coming in, reading takes a
-// part of the time that serving a request has taken lately, with all that follows in later turns.
+// part of the time that serving a request has taken lately, with all that follows in later turns. Work is counted in requests served
+// here; handing one over to another router is a fraction of that.
 
 import type { Clock, Milliseconds } from '@catkinwheel/state';
 
 /** Time for reading, per time for serving, while more connections are coming in. */
 const readingPerServing = 0.3;
-/** Requests that are read for each one that is begun, until the time for serving one is known. */
+/** Requests that are read for each one that is served, until the time for serving one is known. */
 const assumedReadPerBegin = 12;
 /** Time after which a request is begun however little was read: turns may be long for other reasons than requests. */
 const maxReadingTime: Milliseconds = 50;
@@ -25,7 +26,7 @@
   #since: Milliseconds | undefined;
   /** When a request was begun last. */
   #lastBegin: Milliseconds = -Infinity;
-  /** Requests begun then. */
+  /** Work begun then. */
   #begun = 0;
   /** Average time that serving one takes; undefined until it is known. */
   #servingTime: Milliseconds | undefined;
@@ -52,7 +53,7 @@
     this.#readingTime += time;
   }
 
-  /** Ends a turn in which requests wait. Returns how many are to be begun, if so many wait. */
+  /** Ends a turn in which requests wait. Returns the work that is to be begun, if so many wait. */
   end(): number {
     const now = this.clock.now();
     this.#since ??= now;
@@ -81,7 +82,7 @@
     this.#isAccepting = false;
   }
 
-  /** Requests to be begun for what has been read since the last one. */
+  /** Work to be begun for what has been read since the last one. */
   #due(): number {
     const due =
       this.#servingTime === undefined
@@ -90,7 +91,7 @@
     return Math.floor(due);
   }
 
-  /** All time since requests were last begun that was not for reading was for serving. */
+  /** All time since work was last begun that was not for reading was for serving. */
   #learnServingTime(now: Milliseconds): void {
     if (this.#since === undefined || this.#begun === 0) return;
     const time = Math.max(0, now - this.#since - this.#readingTime) / this.#begun;
--- a/packages/standins/src/stack/longTurns.test.ts
+++ b/packages/standins/src/stack/longTurns.test.ts
@@ -18,7 +18,7 @@
 // Guards against GONE of issue 45: a request that takes six turns from its caller to a server and back gets there when the caller has left.
 test('a router with turns of 200 ms serves requests that come one at a time', async (t) => {
   const small = await SmallVm.startFor(t, capacity, { turn: 200 });
-  await small.hasLongTurns();
+  await small.waitForLongTurns();
   const result = await small.flood(1.5, 12_000);
   const told = JSON.stringify(result);
   t.diagnostic(told);
@@ -31,7 +31,7 @@
 test('a router with turns of 60 ms that is asked for three times what it can accept serves half of that', async (t) => {
   const [turn, duration] = [60, 6_000];
   const small = await SmallVm.startFor(t, capacity, { turn });
-  await small.hasLongTurns();
+  await small.waitForLongTurns();
   const acceptable = 1_000 / turn;
   const result = await small.flood(3 * acceptable, duration);
   const told = JSON.stringify(result);
@@ -44,7 +44,7 @@
 // Guards against CONFIG of issue 45: a route's timeout that counts from the turn in which a request is begun.
 test('a router with turns of 200 ms answers within half a second of the timeout of a route', async (t) => {
   const small = await SmallVm.startFor(t, capacity, { turn: 200, silent: true });
-  await small.hasLongTurns();
+  await small.waitForLongTurns();
   const answers = await Promise.all(['/drafts/1', '/charges/1'].map((path) => small.timeOf(path)));
   t.diagnostic(JSON.stringify(answers));
   for (const { status, took } of answers) {
--- a/packages/standins/src/stack/smallVm.ts
+++ b/packages/standins/src/stack/smallVm.ts
@@ -148,7 +148,7 @@
   }
 
   /** Resolves once turns of the router's event loop are long. */
-  async hasLongTurns(): Promise<void> {
+  async waitForLongTurns(): Promise<void> {
     await pause(startTime);
   }
 
