--- a/packages/gateway/src/callerListener.test.ts
+++ b/packages/gateway/src/callerListener.test.ts
@@ -2,7 +2,8 @@
 
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
-import { connect, createServer, type AddressInfo, type Socket } from 'node:net';
+import { Server, connect, createServer, type AddressInfo, type Socket } from 'node:net';
+import { constants } from 'node:os';
 import { test } from 'node:test';
 import { setTimeout as pause } from 'node:timers/promises';
 import { AcceptQueue } from '@catkinwheel/coordination/routing';
@@ -67,3 +68,34 @@
   assert.ok(taken >= length - 1 && taken <= length + 2, `${taken} taken, length ${length}`);
   assert.equal(failed, 0);
 });
+
+// Guards against a router that ends, or logs with each connection, where the length of an open queue cannot be changed.
+test('a listener whose queue cannot be changed accepts connections as before', async (t) => {
+  const clock = Clock.manual();
+  const queue = AcceptQueue.create(clock, longest);
+  const log = Log.create(Clock.system(), 'router', 'boot');
+  const write = t.mock.method(log, 'write');
+  const listen = t.mock.method(Server.prototype, 'listen');
+  const sockets: Socket[] = [];
+  const listener = CallerListener.create(queue, log, (socket) => {
+    clock.jump(turn);
+    sockets.push(socket);
+  });
+  const port = await freePort();
+  await listener.listen({ host, port });
+  t.after(() => {
+    listener.close();
+    for (const socket of sockets) socket.destroy();
+  });
+  const server = listen.mock.calls.at(-1)?.this as { _handle: { listen: unknown } };
+  server._handle.listen = () => -constants.errno.EINVAL;
+  for (let burst = 0; burst < 3; burst += 1) {
+    for (let index = 0; index < longest; index += 1)
+      sockets.push(connect({ host, port }).on('error', () => undefined));
+    await pause(acceptTime);
+  }
+  assert.equal(queue.length, longest);
+  const errors = write.mock.calls.map(({ arguments: [, fields] }) => fields?.error);
+  assert.deepEqual(errors, ['EINVAL']);
+  assert.ok(sockets.length >= 6 * longest, `${sockets.length} ends of connections`);
+});
--- a/packages/gateway/src/callerListener.ts
+++ b/packages/gateway/src/callerListener.ts
@@ -3,6 +3,7 @@
 // requests have run; so the operating system is told the new length of the open one.
 
 import { createServer, type Server, type Socket } from 'node:net';
+import { getSystemErrorName } from 'node:util';
 import type { AcceptQueue } from '@catkinwheel/coordination/routing';
 import type { Milliseconds } from '@catkinwheel/state';
 import { AcceptProbe } from './acceptProbe.js';
@@ -15,6 +16,8 @@
 /** Accepts connections through a queue whose length follows what can be accepted in time. */
 export class CallerListener {
   readonly #server: Server;
+  /** Whether the length cannot be changed. */
+  #hasFixedLength = false;
 
   private constructor(
     private readonly queue: AcceptQueue,
@@ -45,16 +48,13 @@
   }
 
   #setLength(): void {
-    const length = this.queue.newLength();
+    const length = this.#hasFixedLength ? undefined : this.queue.newLength();
     if (length === undefined) return;
     const error = setBacklog(this.#server, length);
-    this.log.write('accept queue', {
-      length,
-      before: this.queue.length,
-      interval: Math.round(this.queue.interval),
-      ...(error === 0 ? {} : { error }),
-    });
-    this.queue.setLength(length);
+    this.#hasFixedLength = error !== undefined;
+    const interval = Math.round(this.queue.interval);
+    this.log.write('accept queue', { length, before: this.queue.length, interval, error });
+    if (error === undefined) this.queue.setLength(length);
   }
 }
 
@@ -71,12 +71,14 @@
 
 /** The part of a server's handle that sets the length of its accept queue, as listen(2) does on a socket that listens already. */
 interface ListeningHandle {
-  /** Returns 0, or the number of an error. */
-  readonly listen: (backlog: number) => number;
+  /** Returns 0, or the negative number of an error. Node.js does not document it, and other versions may have no such call. */
+  readonly listen?: (backlog: number) => number;
 }
 
-/** Sets the length of the accept queue of a server. Returns 0, or the number of an error; Node.js has no public call for this. */
-function setBacklog(server: Server, backlog: number): number {
+/** Sets the length of the accept queue of a server that listens. Returns the name of the error if it is not set. */
+function setBacklog(server: Server, backlog: number): string | undefined {
   const { _handle: handle } = server as unknown as { readonly _handle: ListeningHandle | null };
-  return handle?.listen(backlog) ?? 0;
+  const result = handle?.listen?.(backlog);
+  if (result === undefined) return 'unsupported';
+  return result === 0 ? undefined : getSystemErrorName(result);
 }
