--- a/packages/catkinwheel/src/requestExplanation.ts
+++ b/packages/catkinwheel/src/requestExplanation.ts
@@ -219,6 +219,12 @@
       };
     case 'bodyTooLarge':
       return { cause: 'The request body exceeds the size limit.', next: 'No fault in the fleet.' };
+    case 'bodyTimeout':
+      return {
+        cause:
+          'The request body was not complete when the time of its route, or of its caller, had passed.',
+        next: 'Check the network between the caller and the router, and how the caller sends its body.',
+      };
     case 'callerGone':
       return {
         cause: 'The caller closed its connection before the response was complete.',
--- a/packages/gateway/src/requestHandler.ts
+++ b/packages/gateway/src/requestHandler.ts
@@ -79,11 +79,12 @@
  */
 const coalescingTime: Milliseconds = 40;
 
-/** Statuses of this router's own responses. Only `refused` promises that the request has not run. */
+/** Statuses of this router's own responses. Only `refused` and `bodyTimeout` promise that the request has not run. */
 const statuses = {
   invalidHeader: 400,
   unknownKey: 401,
   unknownRoute: 404,
+  bodyTimeout: 408,
   tooLarge: 413,
   failed: 502,
   refused: 503,
@@ -158,6 +159,8 @@
   #forwardedAt: Milliseconds | undefined;
   #acceptWait: Milliseconds | undefined;
   #route: Route | undefined;
+  /** Whether the rest of the body is not read. */
+  #isPartlyRead = false;
   /** Bytes of the body that are reserved in the budget. */
   #bodySize = 0;
   #team: Team | undefined;
@@ -257,11 +260,15 @@
   async #serve(): Promise<void> {
     const { dispatcher, stops, isBehind, bodyBudget } = this.dependencies;
     const { table } = dispatcher;
+    const route = table?.route(hostOf(this.request), this.request.url ?? '/');
+    this.#route = route;
+    if (route !== undefined) this.#limitTime(route);
     const limit = table?.state.limits.body ?? Infinity;
-    const body = await readBody(this.request, limit, bodyBudget);
-    if (body === 'gone') {
-      this.#team = this.dependencies.dispatcher.table?.team(this.#head.key);
-      this.#finish('left', 'unread');
+    const { signal } = this.#abortController;
+    const body = await readBody(this.request, limit, bodyBudget, signal);
+    this.#isPartlyRead = body === 'aborted' || body === 'tooLarge';
+    if (body === 'gone' || body === 'aborted') {
+      this.#endUnread(body === 'gone' ? 'callerGone' : (signal.reason as AbortCause));
       return;
     }
     if (body === 'tooLarge') {
@@ -285,13 +292,10 @@
       this.#reject(statuses.invalidHeader, this.#head.problem);
       return;
     }
-    const path = this.request.url ?? '/';
-    const route = table.route(hostOf(this.request), path);
     if (route === undefined) {
       this.#reject(statuses.unknownRoute, 'unknownRoute');
       return;
     }
-    this.#route = route;
     if (table.state.teams !== undefined && !route.isPublic) {
       this.#team = table.team(this.#head.key);
       if (this.#team === undefined) {
@@ -340,13 +344,39 @@
     }
   }
 
+  /** Time after which the response is useless. */
+  #deadlineOf(route: Route): Milliseconds {
+    return this.#arrivedAt + Math.min(this.#head.timeLeft ?? route.timeout, route.timeout);
+  }
+
+  /** Aborts the request at its deadline, whatever it waits for by then. */
+  #limitTime(route: Route): void {
+    this.#deadlineTimer = setTimeout(
+      () => {
+        this.#abortController.abort('deadline');
+      },
+      this.#deadlineOf(route) - this.dependencies.clock.now(),
+    );
+  }
+
+  /** Ends a request whose body has not come to its end. */
+  #endUnread(cause: AbortCause): void {
+    switch (cause) {
+      case 'callerGone':
+        this.#team = this.dependencies.dispatcher.table?.team(this.#head.key);
+        this.#finish('left', 'unread');
+        return;
+      case 'deadline':
+        this.#reject(statuses.bodyTimeout, 'bodyTimeout');
+        return;
+      case 'stopping':
+        this.#refuse(cause, otherRouterRetryAfter);
+    }
+  }
+
   async #tryServers(route: Route, body: Buffer): Promise<void> {
     const { dispatcher, metrics, clock } = this.dependencies;
-    const deadline =
-      this.#arrivedAt + Math.min(this.#head.timeLeft ?? route.timeout, route.timeout);
-    this.#deadlineTimer = setTimeout(() => {
-      this.#abortController.abort('deadline');
-    }, deadline - clock.now());
+    const deadline = this.#deadlineOf(route);
     const service = this.#chooseService(route);
     dispatcher.retryBudget.deposit(service);
     const avoid = new Set<string>();
@@ -696,8 +726,8 @@
   }
 
   #reply(status: number, reason: string, headers: Readonly<Record<string, string>> = {}): void {
-    // The rest of a body that is too large is not read, so its connection cannot be reused.
-    this.#callerResponse.reply(status, reason, headers, status === statuses.tooLarge);
+    // A connection cannot be reused after a body of which the rest is not read.
+    this.#callerResponse.reply(status, reason, headers, this.#isPartlyRead);
   }
 
   /** Aborts at the deadline, on silence, and when the caller has left unless the request is non-idempotent and may run. */
