--- a/packages/coordination/src/routing/dispatcher.ts
+++ b/packages/coordination/src/routing/dispatcher.ts
@@ -328,6 +328,11 @@
     return engines.filter((server) => this.#isFree(server)).length / engines.length;
   }
 
+  /** What has been learned about the engines of each service. */
+  engineTimings(): ReadonlyMap<string, EngineTiming> {
+    return this.#engineTimings;
+  }
+
   /** Inference servers, which have a prefix cache. */
   engineServers(): readonly KnownServer[] {
     return this.servers.all().filter((server) => this.#engineMemoryOf(server) > 0);
--- a/packages/coordination/src/routing/model.ts
+++ b/packages/coordination/src/routing/model.ts
@@ -110,11 +110,15 @@
 }
 
 /** Size of a request to a model. */
-export interface Prompt {
-  readonly model: string;
-  /** In the order of the prompt. The last one is private to the request or its session. */
-  readonly parts: readonly PromptPart[];
+export interface PromptSize {
   readonly promptTokens: number;
   /** Max tokens that may be generated. */
   readonly outputLimit: number;
 }
+
+/** A request to a model. */
+export interface Prompt extends PromptSize {
+  readonly model: string;
+  /** In the order of the prompt. The last one is private to the request or its session. */
+  readonly parts: readonly PromptPart[];
+}
--- a/packages/coordination/src/routing/teamCounts.ts
+++ b/packages/coordination/src/routing/teamCounts.ts
@@ -1,7 +1,7 @@
 // Counts what each team asked of one router and what became of it, since a team may be served less than its share by a
 // router that has no processor time for it, by the order of a queue, or by servers that fail.
 
-import type { Prompt } from './model.js';
+import type { PromptSize } from './model.js';
 
 /** What became of a request at this router. */
 export type RequestOutcome =
@@ -38,10 +38,10 @@
     return new TeamCounts();
   }
 
-  /** Counts a request that has ended. `prompt` is undefined for plain services and for requests that were not read. */
-  record(team: string, outcome: RequestOutcome, prompt: Prompt | undefined): void {
+  /** Counts a request that has ended. `size` is undefined for plain services, and for requests that another router counts. */
+  record(team: string, outcome: RequestOutcome, size: PromptSize | undefined): void {
     const known = this.#counts.get(team);
-    const tokens = (prompt?.promptTokens ?? 0) + (prompt?.outputLimit ?? 0);
+    const tokens = (size?.promptTokens ?? 0) + (size?.outputLimit ?? 0);
     this.#counts.set(team, {
       team,
       requests: { ...known?.requests, [outcome]: (known?.requests[outcome] ?? 0) + 1 },
--- a/packages/gateway/src/firstRequest.test.ts
+++ b/packages/gateway/src/firstRequest.test.ts
@@ -9,7 +9,8 @@
 import { hasLeft } from './callerPresence.js';
 import { readFirstRequest, type FirstRequest } from './firstRequest.js';
 
-const head = 'POST /reads/1 HTTP/1.1\r\nX-Host: a\r\nhost:  desk.example \r\nRequest-Id: r-1\r\n';
+const head =
+  'POST /reads/1 HTTP/1.1\r\nX-Host: a\r\nhost:  desk.example \r\nRequest-Id: r-1\r\nToken-Usage: 1200,60\r\n';
 const whole = `${head}Content-Length: 4\r\n\r\nbody`;
 
 /** A caller's connection, and what a router reads from it first. */
@@ -47,6 +48,7 @@
     headers: { host: 'desk.example' },
     id: 'r-1',
     key: undefined,
+    size: { promptTokens: 1_200, outputLimit: 60 },
   });
 });
 
--- a/packages/gateway/src/firstRequest.ts
+++ b/packages/gateway/src/firstRequest.ts
@@ -2,7 +2,8 @@
 // route who serves it. Parsing and serving the request costs several times as much.
 
 import type { Socket } from 'node:net';
-import { decodeKey, headerNames } from '@catkinwheel/platform';
+import type { PromptSize } from '@catkinwheel/coordination/routing';
+import { decodeKey, decodePromptSize, headerNames } from '@catkinwheel/platform';
 import type { Milliseconds } from '@catkinwheel/state';
 
 /** A head that is not complete by then is left to the HTTP parser, which enforces the header timeout. */
@@ -30,6 +31,8 @@
   readonly id: string;
   /** API key, which identifies the team; undefined if the caller sent none. */
   readonly key: string | undefined;
+  /** Undefined for requests to services without a model. */
+  readonly size: PromptSize | undefined;
 }
 
 /**
@@ -85,7 +88,14 @@
   if (path === undefined || host === undefined || fieldOf(text, 'expect') !== undefined)
     return undefined;
   const id = fieldOf(text, headerNames.requestId) ?? '';
-  return { path, headers: { host }, id, key: decodeKey(fieldOf(text, headerNames.authorization)) };
+  const key = decodeKey(fieldOf(text, headerNames.authorization));
+  return {
+    path,
+    headers: { host },
+    id,
+    key,
+    size: decodePromptSize(fieldOf(text, headerNames.tokens)),
+  };
 }
 
 /** The value of the field `name`, which contains letters and hyphens only; undefined if it is missing. */
--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -260,7 +260,7 @@
     const team = this.#teamOf(head);
     const { outcome } = end;
     metrics.requests.inc({ outcome });
-    if (team !== '') teamCounts.record(team, outcome, undefined);
+    if (team !== '') teamCounts.record(team, outcome, head.size);
     const { waiting } = dispatcher;
     log.write('request', { id: head.id, ...end, team, waiting, attempts: [] });
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -351,6 +351,13 @@
       datagrams: Math.round(times.datagrams - since.times.datagrams),
       queue: Math.round(times.queue - since.times.queue),
       arrivals: Math.round(times.arrivals - since.times.arrivals),
+      handsOver: this.#isHandingOver,
+      free: Number(this.#dispatcher.freeServerFraction().toFixed(2)),
+      engines: [...this.#dispatcher.engineTimings()].map(([service, timing]) => ({
+        service,
+        prefillRate: Number(timing.prefillRate.toFixed(1)),
+        baseTime: Math.round(timing.baseTime),
+      })),
     });
     this.#loggedAccepted = acceptedCount;
   }
@@ -366,7 +373,8 @@
       got: deliveredTokens,
       received: Math.round(this.#dispatcher.received(team)),
     }));
-    this.#log.report('teams', { teams });
+    const mostReceived = Math.round(this.#dispatcher.mostReceived());
+    this.#log.report('teams', { mostReceived, teams });
   }
 
   #readCachedParts(): Promise<void> {
