--- a/packages/standins/src/stack/smallVm.ts
+++ b/packages/standins/src/stack/smallVm.ts
@@ -19,6 +19,10 @@
 /** Events of an answer and the time between them, as the published deployments have them. */
 const events = 30;
 const eventPause: Milliseconds = 20;
+/** Time that an answer takes. */
+export const answerTime: Milliseconds = events * eventPause;
+/** More than any test asks for at once. */
+const manySlots = 512;
 /** Callers leave if their request has not been answered after this time. */
 const patience: Milliseconds = 1_000;
 /** A request may reach a server for so long after its caller has left. */
@@ -48,6 +52,8 @@
   /** API key of their team. */
   readonly key?: string;
   readonly path?: string;
+  /** The router that they connect to; the one without processor time if left out. */
+  readonly router?: 'small' | 'other';
 }
 
 /** Properties of a `SmallVm` besides the capacity of its VM. */
@@ -56,11 +62,16 @@
   readonly turn?: Milliseconds;
   /** Whether its server reads requests and answers none. */
   readonly silent?: boolean;
+  /** Requests that its server runs at once. */
+  readonly slots?: number;
 }
 
 /** API key of a second team, which asks for less than the first one. */
 export const quietKey = 'key-of-quiet';
 
+/** API key of a team whose callers may use all routers. */
+export const spreadKey = 'key-of-spread';
+
 /** A router of a small VM, a store and one server. */
 export class SmallVm {
   readonly #pacing = new AbortController();
@@ -96,7 +107,7 @@
   static async start(
     folder: string,
     capacity: number,
-    { turn = 0, silent = false }: SmallVmOptions = {},
+    { turn = 0, silent = false, slots = manySlots }: SmallVmOptions = {},
   ): Promise<SmallVm> {
     const arrivals = new Map<string, Milliseconds>();
     const server = createServer((request, response) => {
@@ -122,7 +133,7 @@
       ...(turn > 0 ? { nodeOptions: ['--import', longTurns(turn)] } : {}),
     });
     const made = new SmallVm(router, ports, folder, store, server, arrivals);
-    made.#describe();
+    made.#describe(slots);
     router.start();
     await router.ready();
     await pause(settleTime);
@@ -255,13 +266,13 @@
     await this.store.close();
   }
 
-  #describe(): void {
+  #describe(slots: number): void {
     const { port } = this.server.address() as AddressInfo;
-    const entry = { service: names.model, address: `127.0.0.1:${port}`, zone: 'suva', slots: 512 };
+    const entry = { service: names.model, address: `127.0.0.1:${port}`, zone: 'suva', slots };
     const start = { version: 'v1', state: 'ready', warmupLeftMs: 0, sequence: 1, born: 1 };
     this.store.put('servers', 'model-1', { ...entry, ...start });
     this.store.put('servers', 'desk-1', { ...entry, ...start, service: names.desk });
-    const engine = { slots: 512, kvTokens: 5_000_000 };
+    const engine = { slots, kvTokens: 5_000_000 };
     const services = [
       { name: names.model, warmupS: 0, coldPerS: 0, engine },
       { name: names.desk, warmupS: 0, coldPerS: 0 },
@@ -269,6 +280,7 @@
     const tenants = [
       { name: names.team, apiKeys: [names.key] },
       { name: 'quiet', apiKeys: [quietKey] },
+      { name: 'spread', apiKeys: [spreadKey] },
     ];
     this.store.put('op', 'config', desiredStateOf(1, { services, tenants }));
   }
@@ -293,6 +305,7 @@
   async #callOrLeave({
     key,
     path,
+    router,
   }: FloodRequest): Promise<'whole' | 'refused' | 'left' | 'late' | 'failed'> {
     const leaving = new AbortController();
     const id = this.#nextId();
@@ -304,7 +317,8 @@
     const onHead = (): void => {
       clearTimeout(timer);
     };
-    const answer = await this.#call(leaving.signal, id, onHead, undefined, path, key);
+    const at = router === 'other' ? this.#others[0] : this.router;
+    const answer = await this.#call(leaving.signal, id, onHead, undefined, path, key, at);
     clearTimeout(timer);
     if (leftAt !== undefined) {
       // What waits at the router is sent on later, if it is.
@@ -322,9 +336,10 @@
     agent?: Agent,
     path = '/letters/1',
     key: string = names.key,
+    router: RouterProcess = this.router,
   ): Promise<CallResult> {
     return call({
-      address: this.router.callers,
+      address: router.callers,
       path,
       host: names.host,
       id,
@@ -367,7 +382,7 @@
 
 /** Answers after as much time as a stream takes. */
 async function answerAtOnce(id: string, response: ServerResponse): Promise<void> {
-  await pause(events * eventPause);
+  await pause(answerTime);
   response.writeHead(200, { 'request-id': id, 'response-seal': 'seal-desk-1' });
   response.end('done');
 }
