--- a/packages/coordination/src/routing/connectionHandover.ts
+++ b/packages/coordination/src/routing/connectionHandover.ts
@@ -1,9 +1,12 @@
 // Hands connections over from a router whose VM is short of processor time to routers that have some, which then
 // forward the first request on them. The callers of a team may all use one router, whatever the directory
 // lists, and ask for several times what its VM can forward while other VMs idle. Fair queueing does not help
-// requests that the router has no time to read.
+// requests that the router has no time to read. While servers have no room, only the teams that are owed service are
+// handed over: any router would serve them first, and the requests of the others would only wait elsewhere.
 
 import { selectEntryRouters, type EntryRouter } from './entryRouters.js';
+import type { FleetUsage } from './intake.js';
+import { isOwedService } from './overload.js';
 
 /** Fraction of its VM in use at which a router starts to hand connections over. */
 const startFraction = 0.75;
@@ -28,24 +31,37 @@
 }
 
 /**
- * Min fraction of servers with room. A flood that no server has room for would only delay the requests of
- * others, so it stays at the router where it arrives.
+ * Min fraction of servers with room for the connections of all teams to be handed over. A flood that no server has room for
+ * would only delay the requests of others, so it stays at the router where it arrives.
  */
 const minFreeServerFraction = 0.25;
 
+/** Whose connections a router hands over. */
+export type HandoverScope = 'none' | 'owedTeams' | 'allTeams';
+
 /**
- * Whether a router hands new connections over. `usedFraction` is that of its VM in use, `freeServerFraction`
- * that of the servers that have room. `isActive`: it hands connections over already.
+ * Whose connections a router hands over. `usedFraction` is that of its VM in use, `freeServerFraction` that of the servers
+ * that have room, `current` the scope until now.
  */
-export function shouldHandOver(
+export function handoverScope(
   usedFraction: number,
   freeServerFraction: number,
-  isActive: boolean,
-): boolean {
-  return (
-    usedFraction >= (isActive ? stopFraction : startFraction) &&
-    freeServerFraction >= minFreeServerFraction
-  );
+  current: HandoverScope,
+): HandoverScope {
+  if (usedFraction < (current === 'none' ? startFraction : stopFraction)) return 'none';
+  return freeServerFraction >= minFreeServerFraction ? 'allTeams' : 'owedTeams';
+}
+
+/** Whether the scope includes the team; the name is empty for requests without a team. */
+export function includesTeam(scope: HandoverScope, team: string, usage: FleetUsage): boolean {
+  switch (scope) {
+    case 'none':
+      return false;
+    case 'owedTeams':
+      return isOwedService(usage.received(team), usage.mostReceived());
+    case 'allTeams':
+      return true;
+  }
 }
 
 /**
--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -12,6 +12,7 @@
   type RequestOutcome,
   type Route,
 } from '@catkinwheel/coordination/routing';
+import { decodeKey } from '@catkinwheel/platform';
 import type { Milliseconds } from '@catkinwheel/state';
 import { CallerConnection } from './callerConnection.js';
 import { CallerListener, listen } from './callerListener.js';
@@ -34,8 +35,10 @@
 /** Handover of new connections to other routers while this one lacks processor time. */
 export interface Handover {
   readonly tunnels: Tunnels;
-  /** Whether new connections are handed over. */
+  /** Whether connections of any team are handed over. */
   readonly isActive: () => boolean;
+  /** Whether connections of the team are; the name is empty for requests without a team. */
+  readonly includes: (team: string) => boolean;
   /** The router to hand a new connection over to; undefined if none has processor time to spare. */
   readonly selectTarget: () => Endpoint | undefined;
 }
@@ -273,7 +276,7 @@
     const decided: DecidedRequest = { decision: { kind: 'begun' }, arrivedAt };
     const { stops, faults } = this.dependencies;
     const { head } = first;
-    const route = head === undefined ? undefined : this.#routeToHandOver(head, head.path);
+    const route = head === undefined ? undefined : this.#routeToHandOver(head, head.path, head.key);
     const target =
       route === undefined || stops.isStopping ? undefined : this.handover.selectTarget();
     if (head !== undefined && route !== undefined && target !== undefined) {
@@ -318,9 +321,13 @@
   #routeToHandOver(
     request: Pick<IncomingMessage, 'headers'>,
     path: string | undefined,
+    key: string | undefined,
   ): Route | undefined {
-    const route = this.dependencies.dispatcher.table?.route(hostOf(request), path ?? '/');
-    return route !== undefined && isRetriable(route) ? route : undefined;
+    if (!this.handover.isActive()) return undefined;
+    const { table } = this.dependencies.dispatcher;
+    const route = table?.route(hostOf(request), path ?? '/');
+    if (route === undefined || !isRetriable(route)) return undefined;
+    return this.handover.includes(table?.team(key)?.name ?? '') ? route : undefined;
   }
 
   /** Whether responses close the connection, so that the caller opens a new one for its next request. */
@@ -328,7 +335,8 @@
     const { stops } = this.dependencies;
     const via = this.#viaOf(request.socket);
     if (via !== undefined || stops.closesConnections(via)) return true;
-    return this.handover.isActive() && this.#routeToHandOver(request, request.url) !== undefined;
+    const key = decodeKey(request.headers.authorization);
+    return this.#routeToHandOver(request, request.url, key) !== undefined;
   }
 
   /** IP address of the router that handed the connection over; undefined if the caller connected to this one. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -10,9 +10,11 @@
   type StopBounds,
   WorkTimer,
   selectEntryRouters,
-  shouldHandOver,
+  handoverScope,
+  includesTeam,
   selectHandoverTarget,
   type DispatcherOptions,
+  type HandoverScope,
   type Member,
   type WorkTimes,
 } from '@catkinwheel/coordination/routing';
@@ -102,8 +104,8 @@
   readonly #intake: IntakeLoop;
   /** Set once the planned stop has begun. */
   #stopping: Promise<void> | undefined;
-  /** Whether new connections are handed over to other routers. */
-  #isHandingOver = false;
+  /** Whose new connections are handed over to other routers. */
+  #handover: HandoverScope = 'none';
   /** Event-loop times at the last log line about the load. */
   #loggedTimes: { readonly at: Milliseconds; readonly times: WorkTimes };
   /** Connections accepted by then. */
@@ -224,7 +226,8 @@
       capacity,
       {
         tunnels: this.#tunnels,
-        isActive: () => this.#isHandingOver,
+        isActive: () => this.#handover !== 'none',
+        includes: (team) => includesTeam(this.#handover, team, dispatcher),
         selectTarget: () => this.#handoverTarget(),
       },
     );
@@ -351,7 +354,7 @@
       datagrams: Math.round(times.datagrams - since.times.datagrams),
       queue: Math.round(times.queue - since.times.queue),
       arrivals: Math.round(times.arrivals - since.times.arrivals),
-      handsOver: this.#isHandingOver,
+      handsOver: this.#handover,
       free: Number(this.#dispatcher.freeServerFraction().toFixed(2)),
       engines: [...this.#dispatcher.engineTimings()].map(([service, timing]) => ({
         service,
@@ -442,7 +445,7 @@
 
   /** The router that serves a new connection instead of this one; undefined if this one serves it. */
   #handoverTarget(): Endpoint | undefined {
-    if (!this.#isHandingOver) return undefined;
+    if (this.#handover === 'none') return undefined;
     const target = this.#selectHandoverTarget();
     return target === undefined ? undefined : this.#tunnelEndpoint(target.ip);
   }
@@ -453,16 +456,17 @@
 
   #updateHandover(): void {
     const used = this.#cpuUsage.recentUtilization();
-    const isActive = this.#isHandingOver;
+    const current = this.#handover;
     // The server and member tables are not scanned at each tick while this router has processor time to spare.
-    const lacksCpu = shouldHandOver(used, 1, isActive);
-    if (!lacksCpu && !isActive) return;
+    const lacksCpu = handoverScope(used, 1, current) !== 'none';
+    if (!lacksCpu && current === 'none') return;
     const free = this.#dispatcher.freeServerFraction();
-    const isHandingOver =
-      shouldHandOver(used, free, isActive) && this.#selectHandoverTarget() !== undefined;
-    if (isHandingOver === isActive) return;
-    this.#isHandingOver = isHandingOver;
-    this.#log.write(isHandingOver ? 'handing connections on' : 'keeping connections', {
+    const hasTarget = this.#selectHandoverTarget() !== undefined;
+    const scope = hasTarget ? handoverScope(used, free, current) : 'none';
+    if (scope === current) return;
+    this.#handover = scope;
+    this.#log.write(scope === 'none' ? 'keeping connections' : 'handing connections on', {
+      scope,
       used: Number(used.toFixed(2)),
       free: Number(free.toFixed(2)),
       tunnels: this.#tunnels.openedCount,
