--- a/packages/coordination/src/routing/dispatcher.test.ts
+++ b/packages/coordination/src/routing/dispatcher.test.ts
@@ -3,15 +3,27 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { Clock, type ManualClock } from '@catkinwheel/state';
-import { Dispatcher, type Grant, type Rejection, type Request } from './dispatcher.js';
+import {
+  Dispatcher,
+  type DispatcherOptions,
+  type Grant,
+  type Rejection,
+  type Request,
+} from './dispatcher.js';
 import { desiredState, prompt, route, server } from './fixtures.test.js';
 import { RouteTable } from './routeTable.js';
 import { WorkTimer } from './workTimer.js';
 
 const never = new AbortController().signal;
 
-function dispatcher(clock: Clock, self = 'r1', routers = ['r1']): Dispatcher {
+function dispatcher(
+  clock: Clock,
+  self = 'r1',
+  routers = ['r1'],
+  options: Partial<DispatcherOptions> = {},
+): Dispatcher {
   const created = Dispatcher.create({
+    ...options,
     clock,
     work: WorkTimer.create(clock),
     self,
@@ -343,3 +355,58 @@
   once.finish('failed');
   assert.equal(router.serverHealth.failureRate(only), rate);
 });
+
+/** Servers to which a router sends `count` requests that all begin. */
+async function serversOf(
+  clock: ManualClock,
+  router: Dispatcher,
+  count: number,
+): Promise<ReadonlySet<string>> {
+  const ids = new Set<string>();
+  for (let index = 0; index < count; index += 1) {
+    const grant = await settled(clock, router.acquire(request(clock), never));
+    assert.ok(grant?.kind === 'server');
+    grant.started();
+    ids.add(grant.server.id);
+  }
+  return ids;
+}
+
+// Guards against FAIR of issue 47: when many servers end at once, each router found out about each of them by requests of callers, which
+// were tried at one ended server after the other.
+test('a server that another router has found to have ended gets no requests until it registers again', async () => {
+  const clock = Clock.manual(1_000);
+  const servers = ['a', 'bb', 'ccc'].map((id) => server(id));
+  const routers = ['r1', 'r2'];
+  const first = dispatcher(clock, 'r1', routers);
+  const second = dispatcher(clock, 'r2', routers, {
+    isRefused: (address) => Promise.resolve(address === servers[0]?.address),
+  });
+  for (const router of [first, second]) router.applyServers(servers, false);
+  const lost = await settled(clock, first.acquire(request(clock), never));
+  assert.ok(lost?.kind === 'server' && lost.server.id === 'a');
+  lost.finish('unreachable');
+  second.hearCrashEvidence(first.crashEvidence('own'));
+  await clock.advance(0);
+  assert.ok(!(await serversOf(clock, second, 6)).has('a'));
+  await clock.advance(1_000);
+  assert.ok(!(await serversOf(clock, second, 6)).has('a'), 'tried again');
+  const others = servers.slice(1).map(({ id }) => server(id, { isLeaving: true }));
+  second.applyServers([server('a', { born: 2 }), ...others], false);
+  assert.ok((await serversOf(clock, second, 6)).has('a'), 'its next instance is not used');
+});
+
+// Guards against a router that is cut off from servers and has them dropped by all routers.
+test('a server that another router cannot reach is used as long as it accepts connections', async () => {
+  const clock = Clock.manual(1_000);
+  const routers = ['r1', 'r2'];
+  const first = dispatcher(clock, 'r1', routers);
+  const second = dispatcher(clock, 'r2', routers, { isRefused: () => Promise.resolve(false) });
+  for (const router of [first, second]) router.applyServers([server('a')], false);
+  const lost = await settled(clock, first.acquire(request(clock), never));
+  assert.ok(lost?.kind === 'server');
+  lost.finish('unreachable');
+  second.hearCrashEvidence(first.crashEvidence('own'));
+  await clock.advance(0);
+  assert.ok((await serversOf(clock, second, 1)).has('a'));
+});
--- a/packages/coordination/src/routing/dispatcher.ts
+++ b/packages/coordination/src/routing/dispatcher.ts
@@ -32,7 +32,7 @@
 import type { RouteTable } from './routeTable.js';
 import { ServerTable, type KnownServer } from './serverTable.js';
 import { ServerHealth, type HealthChange, type ServerOutcome } from './serverHealth.js';
-import type { ServerInstance } from './serverInstance.js';
+import { isSameInstance, type ServerInstance } from './serverInstance.js';
 import { TeamUsage, type Charge } from './teamUsage.js';
 import { TimeBudgets } from './timeBudgets.js';
 import { UnreportedParts } from './unreportedParts.js';
@@ -379,8 +379,24 @@
     return this.#poisonGuard.evidence(scope);
   }
 
+  /** Applies what another router has seen of servers that ended. */
   hearCrashEvidence(evidence: CrashEvidence): void {
-    this.#poisonGuard.hear(evidence);
+    for (const instance of this.#poisonGuard.hear(evidence)) void this.#verifyEnd(instance);
+  }
+
+  /**
+   * Looks whether an instance has ended that another router could not reach, so that no request is tried there. The other router may
+   * be cut off itself.
+   */
+  async #verifyEnd(instance: ServerInstance): Promise<void> {
+    if (this.serverHealth.isUnreachable(instance) || !this.servers.isRegistered(instance)) return;
+    const isRefused = await this.options.isRefused?.(instance.address);
+    const server = this.servers.get(instance.id);
+    if (isRefused !== true || server === undefined || !isSameInstance(server, instance)) return;
+    const service = this.#service(server.service);
+    if (service === undefined) return;
+    this.#recordOutcome(server, service, 'ended');
+    this.#admission.placeQueued();
   }
 
   #ownReport(): Report {
@@ -535,7 +551,7 @@
     if (change === 'back') this.servers.markCold(server, service.warmup);
     if (change !== undefined)
       this.options.onServer?.(server.id, change, this.serverHealth.failureRate(server));
-    if (outcome === 'unreachable') this.#prefixCaches.forget(server);
+    if (outcome === 'unreachable' || outcome === 'ended') this.#prefixCaches.forget(server);
   }
 
   #leastReceived(): ReadonlyMap<string, number> {
--- a/packages/coordination/src/routing/poisonGuard.ts
+++ b/packages/coordination/src/routing/poisonGuard.ts
@@ -118,6 +118,7 @@
             this.#examine(server);
             break;
           case 'unreachable':
+          case 'ended':
           case 'misdirected':
             if (isLeaving()) return;
             this.#crashes.confirm(server);
@@ -185,13 +186,15 @@
     };
   }
 
-  /** Takes what another router tells. */
-  hear({ crashes, sound, blocked }: CrashEvidence): void {
+  /** Takes what another router tells. Returns the instances that have ended by its reports, as far as these say anything new. */
+  hear({ crashes, sound, blocked }: CrashEvidence): readonly ServerInstance[] {
     for (const [part, age] of sound) this.#prove([part], age);
-    for (const report of crashes) if (this.#crashes.receive(report)) this.#hasNews = true;
+    const news = crashes.filter((report) => this.#crashes.receive(report));
+    if (news.length > 0) this.#hasNews = true;
     for (const timed of blocked)
       if (this.#parts.adopt(timed))
         this.onChange({ kind: 'blocked', part: timed[0], ends: undefined });
+    return news.filter(({ isConfirmed }) => isConfirmed).map(({ server }) => server);
   }
 
   #forgetExamined(): void {
--- a/packages/coordination/src/routing/serverHealth.ts
+++ b/packages/coordination/src/routing/serverHealth.ts
@@ -14,6 +14,8 @@
   | 'disconnected'
   /** No connection could be opened. */
   | 'unreachable'
+  /** Connections are refused: its process has ended, and the next one registers as another instance. */
+  | 'ended'
   /** The server refused the request without running it. */
   | 'refused'
   /** Another server has the address. */
@@ -88,6 +90,12 @@
         const pause = Math.min(maxPause, minPause * 2 ** (failedConnections - 1));
         return { ...record, failedConnections, pausedUntil: now + pause };
       }
+      case 'ended':
+        return {
+          ...record,
+          failedConnections: Math.max(1, record.failedConnections),
+          pausedUntil: now + maxPause,
+        };
       case 'misdirected':
         // Its registration is out of date; the next one names another instance.
         return { ...record, pausedUntil: now + maxPause };
