--- a/packages/standins/src/stack/store.ts
+++ b/packages/standins/src/stack/store.ts
@@ -1,5 +1,5 @@
 // A stand-in of the platform's store: rows with versions from one counter, and a feed of changes. It can
-// be made to refuse, to lose answers and to forget its history.
+// be made to refuse, to lose answers, to forget its history and to come back from an older copy.
 
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
@@ -38,13 +38,20 @@
   readonly remove: readonly { readonly table: string; readonly key: string }[];
 }
 
+/** The content of the store at one moment. */
+export interface StoreCopy {
+  readonly rows: ReadonlyMap<string, StoredRow>;
+  readonly ver: number;
+}
+
 /** A running stand-in of the store. */
 export class StackStore {
   mode: StoreMode = 'well';
-  readonly #rows = new Map<string, StoredRow>();
+  #rows = new Map<string, StoredRow>();
   readonly #waiting = new Set<() => void>();
   #ver = 1;
   #oldest = 0;
+  #era = 1;
 
   private constructor(private readonly server: Server) {}
 
@@ -83,6 +90,19 @@
     this.#wake();
   }
 
+  copy(): StoreCopy {
+    return { rows: new Map(this.#rows), ver: this.#ver };
+  }
+
+  /** Comes back from a copy: what was written since is gone, and its versions are given out again. */
+  restore({ rows, ver }: StoreCopy): void {
+    this.#rows = new Map(rows);
+    this.#ver = ver;
+    this.#oldest = Math.min(this.#oldest, ver);
+    this.#era += 1;
+    this.#wake();
+  }
+
   keys(table: string): readonly string[] {
     return this.#live(table).map(({ key }) => key);
   }
@@ -94,6 +114,8 @@
   }
 
   async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const era = this.#era;
+    response.setHeader('store-era', era);
     const url = new URL(request.url ?? '/', 'http://store');
     const body = await text(request);
     switch (this.mode) {
@@ -128,19 +150,24 @@
         });
         return;
       case '/-/rows-feed':
-        await this.#feed(url.searchParams, response);
+        await this.#feed(url.searchParams, era, response);
         return;
       default:
         reply(response, 404, {});
     }
   }
 
-  async #feed(query: URLSearchParams, response: ServerResponse): Promise<void> {
+  async #feed(query: URLSearchParams, era: number, response: ServerResponse): Promise<void> {
     const since = Number(query.get('sinceRev'));
     const table = query.get('table') ?? '';
     const end = Date.now() + Number(query.get('waitMs'));
     for (;;) {
-      if (since < this.#oldest) {
+      if (era !== this.#era) {
+        // The store was away meanwhile, and its connections with it.
+        response.destroy();
+        return;
+      }
+      if (since < this.#oldest || since > this.#ver) {
         reply(response, 410, {});
         return;
       }
