--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -200,9 +200,9 @@
       stops,
       storeAge: () => this.#storeReader.age(),
       used: () => this.#cpuUsage.usedCores(),
-      onNewerVersions: (peer, versions) => {
+      onNewerTables: (peer, revisions) => {
         const address = this.#peerAddress(peer);
-        faults.watch('peerState', this.#peerState.fetchNewer(address, versions));
+        faults.watch('peerState', this.#peerState.fetchNewer(address, revisions));
       },
     });
     this.#tunnels = Tunnels.create(clock, log);
@@ -494,6 +494,9 @@
     if (limits !== undefined) this.#frontend.limit(limits);
     this.#connections.retireExcept(this.#dispatcher.servers.all());
     this.#gossip.tellOfChange(source);
+    if (this.#stops.isStopping) return;
+    const renewed = this.#registration.renew(this.#storeReplica.era, this.#stopped.signal);
+    this.#faults.watch('registration', renewed);
   }
 
   #peerAddress(ip: string): string {
--- a/packages/gateway/src/gossip.ts
+++ b/packages/gateway/src/gossip.ts
@@ -23,7 +23,7 @@
 import type { Clock, Milliseconds } from '@catkinwheel/state';
 import { Codec, array, boolean, nullable, optional, string, tuple, type GetType } from 'purify-ts';
 import { decodeEvidence, encodeEvidence, evidenceCodec } from './crashEvidence.js';
-import type { Source, StoreReplica, TableVersions } from './storeReplica.js';
+import type { Source, StoreReplica, TableRevisions } from './storeReplica.js';
 import type { Faults } from './faults.js';
 import type { Log } from './log.js';
 
@@ -60,6 +60,8 @@
   /** Versions of the sender's copies of the tables. */
   operators: wholeNumber,
   servers: wholeNumber,
+  /** Eras of these, in the same order; routers of earlier versions send none. */
+  eras: optional(tuple([wholeNumber, wholeNumber])),
   /** Requests in flight at each server. */
   loads: array(loadCodec),
   /** Tokens that each team received recently. */
@@ -113,8 +115,8 @@
       readonly storeAge: () => Milliseconds;
       /** Cores in use. */
       readonly used: () => number;
-      /** Called when the router at `ip` has newer table versions than this one. */
-      readonly onNewerVersions: (ip: string, versions: TableVersions) => void;
+      /** Called when the router at `ip` has newer tables than this one. */
+      readonly onNewerTables: (ip: string, revisions: TableRevisions) => void;
     },
   ) {
     this.#socket = createSocket('udp4');
@@ -250,6 +252,8 @@
   #message(report: Report, otherMembers: Message['members']): Message {
     const { router, ip, dataCentre, capacity, used } = this.options;
     const { storeReplica, stops, storeAge } = this.options;
+    const operators = storeReplica.revision('operators');
+    const servers = storeReplica.revision('servers');
     return {
       router,
       ip,
@@ -259,8 +263,9 @@
       used: Number(used().toFixed(3)),
       members: otherMembers,
       storeAge: encodeAge(storeAge()),
-      operators: storeReplica.version('operators'),
-      servers: storeReplica.version('servers'),
+      operators: operators.version,
+      servers: servers.version,
+      eras: [operators.era, servers.era],
       loads: encodeLoads(report.loads),
       teams: [...report.teams].map(([team, tokens]) => [team, Math.round(tokens)]),
       waiting: encodeLoads(report.waiting),
@@ -296,7 +301,7 @@
   }
 
   #apply(message: Message, bytes: Buffer, from: string): void {
-    const { dispatcher, storeReplica, onNewerVersions, dataCentre, log } = this.options;
+    const { dispatcher, storeReplica, onNewerTables, dataCentre, log } = this.options;
     const { router: name, members: otherMembers, ip } = message;
     const isIdle = message.loads.length === 0 && message.waiting.length === 0;
     this.#recordHeartbeat({ ...message, name, isIdle, storeAge: message.storeAge ?? Infinity }, 0);
@@ -334,7 +339,21 @@
       if (reporter.kind === 'dataCentre' && isDirect && representatives !== undefined)
         for (const peer of directPeers) if (this.#isDue(peer)) this.#sendTo(peer.ip, bytes);
     }
-    if (storeReplica.isBehind(message)) onNewerVersions(from, message);
+    const revisions = this.#revisionsOf(message);
+    if (storeReplica.isBehind(revisions)) onNewerTables(from, revisions);
+  }
+
+  /** A router that names no eras is assumed to be in those of this one. */
+  #revisionsOf({ operators, servers, eras }: Message): TableRevisions {
+    const { storeReplica } = this.options;
+    const [operatorsEra, serversEra] = eras ?? [
+      storeReplica.revision('operators').era,
+      storeReplica.revision('servers').era,
+    ];
+    return {
+      operators: { era: operatorsEra, version: operators },
+      servers: { era: serversEra, version: servers },
+    };
   }
 
   /** Records that this router or another one received a heartbeat of the member `age` ago. */
--- a/packages/gateway/src/peerState.test.ts
+++ b/packages/gateway/src/peerState.test.ts
@@ -17,13 +17,13 @@
 import { Log } from './log.js';
 import { Metrics } from './metrics.js';
 import { PeerState } from './peerState.js';
-import { StoreReplica } from './storeReplica.js';
+import { StoreReplica, tableNames } from './storeReplica.js';
 
 /** Other routers of a data centre. */
 const peerCount = 15;
 
-/** A router's copy of the tables, and routers beside it that answer with version `version` of them unless they are `silent`. */
-async function fleet(t: TestContext, version: number, silent: number) {
+/** A router's copy of the tables, and routers beside it that answer with version `version` of them unless they are `silent`; they name no eras if `era` is left out. */
+async function fleet(t: TestContext, version: number, silent: number, era?: number) {
   const clock = Clock.system();
   const log = Log.create(clock, 'own', 'boot');
   const faults = Faults.create(log, Metrics.create());
@@ -52,7 +52,8 @@
     capacity: 1,
   });
   let requests = 0;
-  const changes = { version, rows: [] };
+  const revision = { era: era ?? 0, version };
+  const changes = { era, version, rows: [] };
   const state = { operators: changes, servers: changes, routers: [], parts: [] };
   const addresses: string[] = [];
   for (let index = 0; index < peerCount; index += 1) {
@@ -71,7 +72,7 @@
   const hear = (): Promise<unknown> =>
     Promise.all(
       addresses.map((address) =>
-        peerState.fetchNewer(address, { operators: version, servers: version }),
+        peerState.fetchNewer(address, { operators: revision, servers: revision }),
       ),
     );
   return { hear, storeReplica, requests: () => requests };
@@ -81,7 +82,7 @@
 test('a change that all routers tell of is fetched from one of them', async (t) => {
   const { hear, storeReplica, requests } = await fleet(t, 7, 0);
   await hear();
-  assert.equal(storeReplica.version('servers'), 7);
+  assert.equal(storeReplica.revision('servers').version, 7);
   await hear();
   assert.ok(requests() <= 2, `${requests()} requests`);
 });
@@ -90,10 +91,28 @@
 test('a change is fetched from another router if the one that was asked is silent', async (t) => {
   const { hear, storeReplica, requests } = await fleet(t, 7, peerCount - 1);
   const deadline = performance.now() + 5_000;
-  while (storeReplica.version('servers') < 7 && performance.now() < deadline) {
+  while (storeReplica.revision('servers').version < 7 && performance.now() < deadline) {
     void hear();
     await pause(50);
   }
-  assert.equal(storeReplica.version('servers'), 7);
+  assert.equal(storeReplica.revision('servers').version, 7);
   assert.ok(requests() <= peerCount, `${requests()} requests`);
 });
+
+// Guards against a router that cannot reach the store and keeps the rows that it has lost, since versions are lower after its return.
+test('tables of a later era are fetched and replace those of this router, though their version is lower', async (t) => {
+  const { hear, storeReplica } = await fleet(t, 7, 0, 2);
+  const before = { revision: { era: 1, version: 100 }, rows: [] };
+  for (const table of tableNames) storeReplica.replace(table, before, 'store');
+  await hear();
+  assert.deepEqual(storeReplica.revision('servers'), { era: 2, version: 7 });
+});
+
+// Guards against a router that goes back to the tables of a store before its return, which another router still has.
+test('tables of an earlier era are not fetched, though their version is higher', async (t) => {
+  const { hear, storeReplica, requests } = await fleet(t, 100, 0, 1);
+  const now = { revision: { era: 2, version: 7 }, rows: [] };
+  for (const table of tableNames) storeReplica.replace(table, now, 'store');
+  await hear();
+  assert.equal(requests(), 0);
+});
--- a/packages/gateway/src/peerState.ts
+++ b/packages/gateway/src/peerState.ts
@@ -14,7 +14,13 @@
 import { Codec, array, boolean, optional, string, tuple, type GetType } from 'purify-ts';
 import type { Dispatcher, Members } from '@catkinwheel/coordination/routing';
 import { Agent } from 'undici';
-import { tableNames, type Changes, type StoreReplica, type TableVersions } from './storeReplica.js';
+import {
+  tableNames,
+  type Changes,
+  type StoreReplica,
+  type TableName,
+  type TableRevisions,
+} from './storeReplica.js';
 import type { Log } from './log.js';
 
 const path = '/state';
@@ -32,10 +38,12 @@
 /** A router that has said that its tables are newer. */
 interface NewerPeer {
   readonly address: string;
-  readonly versions: TableVersions;
+  readonly revisions: TableRevisions;
 }
 
 const changesCodec = Codec.interface({
+  /** Routers of earlier versions do not know eras. */
+  era: optional(wholeNumber),
   version: wholeNumber,
   rows: array(Codec.interface({ key: string, version: wholeNumber, value: optional(string) })),
 });
@@ -88,10 +96,18 @@
   addRoutes(app: Hono): void {
     const { dispatcher, storeReplica, members, router, ip, capacity } = this.options;
     app.get(path, (context) => {
-      const version = (table: string): number => Number(context.req.query(table) ?? 0);
+      const changes = (table: TableName): GetType<typeof changesCodec> => {
+        const { era } = storeReplica.revision(table);
+        const since = {
+          era: Number(context.req.query(eraField(table)) ?? era),
+          version: Number(context.req.query(table) ?? 0),
+        };
+        const { revision, rows } = storeReplica.changesSince(table, since);
+        return { ...revision, rows: rows.map((row) => ({ ...row })) };
+      };
       return context.json({
-        operators: storeReplica.changesSince('operators', version('operators')),
-        servers: storeReplica.changesSince('servers', version('servers')),
+        operators: changes('operators'),
+        servers: changes('servers'),
         routers: [
           [router, ip, capacity],
           ...[...members.registered()].map(([name, known]) => [name, known.ip, known.capacity]),
@@ -111,8 +127,8 @@
    * Fetches the rows of a router whose tables are newer, if no other one has sent them before. All routers of a data centre
    * tell of each change at about the same time, so one of them is asked at a time. Resolves when none is left to ask.
    */
-  async fetchNewer(address: string, versions: TableVersions): Promise<void> {
-    this.#newerPeer = { address, versions };
+  async fetchNewer(address: string, revisions: TableRevisions): Promise<void> {
+    this.#newerPeer = { address, revisions };
     if (this.#isFetchingNewer) return;
     this.#isFetchingNewer = true;
     const { clock } = this.options;
@@ -129,7 +145,7 @@
   #takeNewerPeer(): NewerPeer | undefined {
     const peer = this.#newerPeer;
     this.#newerPeer = undefined;
-    const isNewer = peer !== undefined && this.options.storeReplica.isBehind(peer.versions);
+    const isNewer = peer !== undefined && this.options.storeReplica.isBehind(peer.revisions);
     return isNewer ? peer : undefined;
   }
 
@@ -138,7 +154,10 @@
     if (this.#recentlyRequested.has(address)) return;
     this.#recentlyRequested.add(address);
     const { clock, storeReplica, log } = this.options;
-    const tables = tableNames.map((table) => `${table}=${storeReplica.version(table)}`);
+    const tables = tableNames.map((table) => {
+      const { era, version } = storeReplica.revision(table);
+      return `${table}=${version}&${eraField(table)}=${era}`;
+    });
     const query = [...tables, ...(this.#hasCachedParts ? [] : ['parts=all'])].join('&');
     try {
       const { statusCode, body } = await this.#agent.request({
@@ -169,12 +188,15 @@
     for (const [name, ip, capacity] of state.routers) members.register(name, { ip, capacity });
     if (state.isComplete === true) members.recordComplete();
     for (const table of tableNames) {
-      const { version, rows } = state[table];
+      const own = storeReplica.revision(table).era;
+      const { era = own, version, rows } = state[table];
       const changes: Changes = {
-        version,
+        revision: { era, version },
         rows: rows.map((row) => ({ ...row, value: row.value })),
       };
-      storeReplica.merge(table, changes, 'peer');
+      // A router in another era sends all rows.
+      if (era === own) storeReplica.merge(table, changes, 'peer');
+      else storeReplica.replace(table, changes, 'peer');
     }
     if (state.parts.length === 0) return;
     this.#hasCachedParts = true;
@@ -183,3 +205,8 @@
     );
   }
 }
+
+/** Query field with the era of the requesting router's copy of the table. */
+function eraField(table: TableName): string {
+  return `${table}Era`;
+}
--- a/packages/gateway/src/registration.ts
+++ b/packages/gateway/src/registration.ts
@@ -16,6 +16,10 @@
 
 /** The registration of one router. */
 export class Registration {
+  /** Era of the store in which it was written last; undefined before the first time. */
+  #era: number | undefined;
+  #isRunning = false;
+
   private constructor(
     private readonly options: {
       readonly clock: Clock;
@@ -38,12 +42,33 @@
    * time at least the later one reads the other's registration and contacts it.
    */
   async run(signal: AbortSignal): Promise<void> {
+    this.#isRunning = true;
+    try {
+      await this.#run(signal);
+    } finally {
+      this.#isRunning = false;
+    }
+  }
+
+  /** Registers again if the store, which is in `era` now, has come back from a copy since. */
+  async renew(era: number, signal: AbortSignal): Promise<void> {
+    if (this.#isRunning || this.#era === undefined || era <= this.#era) return;
+    this.#era = undefined;
+    this.#isRunning = true;
+    // All routers learn of it at about the same time.
+    await this.options.clock.sleep(retryPause * Math.random(), signal);
+    await this.run(signal);
+  }
+
+  async #run(signal: AbortSignal): Promise<void> {
     const { clock, store, log, name, ip, capacity } = this.options;
     const value = JSON.stringify({ ip, capacity });
-    let isWritten = false;
     while (!signal.aborted) {
-      if (!isWritten) isWritten = (await store.write(table, name, value, callTimeout)).isOk();
-      if (isWritten) {
+      if (this.#era === undefined) {
+        const written = await store.write(table, name, value, callTimeout);
+        this.#era = written.unwrapOr(undefined);
+      }
+      if (this.#era !== undefined) {
         const snapshot = await store.table(table, callTimeout);
         if (snapshot.isOk()) {
           for (const { key, value } of snapshot.value.rows)
--- a/packages/gateway/src/storeReader.ts
+++ b/packages/gateway/src/storeReader.ts
@@ -71,7 +71,7 @@
         continue;
       }
       // A copy from another router serves as well as one that this router read from the store.
-      isComplete ||= storeReplica.version(table) > 0;
+      isComplete ||= storeReplica.hasTable(table);
       const failure = await this.#contained(
         table,
         isComplete ? this.#poll(table) : this.#readAll(table),
@@ -86,7 +86,7 @@
         isComplete = false;
         const event =
           failure.kind === 'tooLong' ? 'changes are too long' : 'store lost its history';
-        log.write(event, { table, version: storeReplica.version(table) });
+        log.write(event, { table, ...storeReplica.revision(table) });
         const rereadFailure = await this.#contained(table, this.#readAll(table));
         if (rereadFailure === undefined) {
           isComplete = true;
@@ -115,7 +115,7 @@
 
   #isReader(): boolean {
     const { storeReplica, members } = this.options;
-    if (tableNames.some((table) => storeReplica.version(table) === 0)) return true;
+    if (tableNames.some((table) => !storeReplica.hasTable(table))) return true;
     const gossipMargin = usesHierarchicalGossip(members.names().length) ? gossipDelay : 0;
     return members.isStoreReader(pollWait + responseTimeout + gossipMargin);
   }
@@ -124,7 +124,7 @@
     const { store, storeReplica } = this.options;
     const changes = await store.changes(
       storeTables[table],
-      storeReplica.version(table),
+      storeReplica.revision(table),
       pollWait,
       responseTimeout,
     );
--- a/packages/gateway/src/storeReplica.ts
+++ b/packages/gateway/src/storeReplica.ts
@@ -4,10 +4,11 @@
 import {
   RouteTable,
   TableReplica,
+  isNewerRevision,
   type Dispatcher,
   type Server,
 } from '@catkinwheel/coordination/routing';
-import type { VersionedRow } from '@catkinwheel/coordination/routing';
+import type { Revision, VersionedRow } from '@catkinwheel/coordination/routing';
 import {
   decodeDesiredState,
   decodeServerEntry,
@@ -38,12 +39,12 @@
  */
 const renewalPeriod: Milliseconds = 2_500;
 
-/** Versions of a router's copies of the tables. */
-export type TableVersions = Readonly<Record<TableName, number>>;
+/** Revisions of a router's copies of the tables. */
+export type TableRevisions = Readonly<Record<TableName, Revision>>;
 
-/** Rows changed since some version, up to `version`; for `replace`, all rows of the table. */
+/** Rows changed since some revision, up to `revision`; for `replace`, all rows of the table. */
 export interface Changes {
-  readonly version: number;
+  readonly revision: Revision;
   readonly rows: readonly VersionedRow[];
 }
 
@@ -78,18 +79,29 @@
     this.#onChange = listener;
   }
 
-  version(table: TableName): number {
-    return this.#copies[table].version;
+  revision(table: TableName): Revision {
+    return this.#copies[table].revision;
   }
 
-  /** Whether a router with these versions has rows that this one lacks. */
-  isBehind(versions: TableVersions): boolean {
-    return tableNames.some((table) => versions[table] > this.version(table));
+  /** The latest era of the store that is known. */
+  get era(): number {
+    return Math.max(...tableNames.map((table) => this.revision(table).era));
   }
 
-  changesSince(table: TableName, version: number): Changes {
+  /** Whether anything is known of the table. */
+  hasTable(table: TableName): boolean {
+    return this.revision(table).version > 0;
+  }
+
+  /** Whether a router with these revisions has rows that this one lacks. */
+  isBehind(revisions: TableRevisions): boolean {
+    return tableNames.some((table) => isNewerRevision(revisions[table], this.revision(table)));
+  }
+
+  /** All rows of the table if `revision` is of another era. */
+  changesSince(table: TableName, revision: Revision): Changes {
     const copy = this.#copies[table];
-    return { version: copy.version, rows: copy.since(version) };
+    return { revision: copy.revision, rows: copy.since(revision) };
   }
 
   /** Records that the store answered this router, or another one, `age` ago. */
@@ -105,18 +117,19 @@
   }
 
   merge(table: TableName, changes: Changes, source: Source): void {
-    this.#apply(table, this.#copies[table].merge(changes.rows, changes.version), source);
+    this.#apply(table, this.#copies[table].merge(changes.rows, changes.revision), source);
   }
 
   replace(table: TableName, snapshot: Changes, source: Source): void {
-    this.#apply(table, this.#copies[table].replace(snapshot.rows, snapshot.version), source);
+    this.#apply(table, this.#copies[table].replace(snapshot.rows, snapshot.revision), source);
   }
 
   #apply(table: TableName, copy: TableReplica, source: Source): void {
     const before = this.#copies[table];
     if (copy === before) return;
     this.#copies[table] = copy;
-    const changed = copy.since(before.version);
+    if (copy.revision.era !== before.revision.era) this.#recordEra(table, copy, before);
+    const changed = copy.since(before.revision);
     if (changed.length === 0) return;
     // The copy counts as read even if its application throws: reading it once more would end in the same way.
     this.faults.contain('table', () => {
@@ -128,6 +141,17 @@
     });
   }
 
+  /** Servers whose registrations the store has lost write them again, as after an outage. */
+  #recordEra(table: TableName, copy: TableReplica, before: TableReplica): void {
+    if (before === TableReplica.empty) return;
+    this.#availableSince = this.clock.now();
+    this.log.write('store came back from a copy', {
+      table,
+      before: before.revision,
+      now: copy.revision,
+    });
+  }
+
   /** Applies the desired state and the set of data centres that are out of service. */
   #applyOperators(copy: TableReplica, source: Source): void {
     const rows = copy.rows();
@@ -141,7 +165,7 @@
       .filter(({ key }) => key.startsWith(evacuationPrefix))
       .map(({ key }) => key.slice(evacuationPrefix.length));
     this.dispatcher.evacuate(new Set(evacuated));
-    this.log.write('operators table', { version: copy.version, source, evacuated });
+    this.log.write('operators table', { ...copy.revision, source, evacuated });
   }
 
   #applyDesiredState(text: string, rowVersion: number, source: Source): void {
@@ -172,7 +196,7 @@
     this.dispatcher.applyServers(registered, storeAway);
     const servers = this.dispatcher.servers.all();
     this.log.write('servers table', {
-      version: copy.version,
+      ...copy.revision,
       source,
       changed,
       storeAway,
