--- a/packages/coordination/src/routing/connectionHandover.test.ts
+++ b/packages/coordination/src/routing/connectionHandover.test.ts
@@ -10,6 +10,7 @@
   includesTeam,
   selectHandoverTarget,
   type HandoverTarget,
+  type ProcessorLoad,
 } from './connectionHandover.js';
 
 const source = {
@@ -38,30 +39,42 @@
   mostReceived: () => 6_000_000,
 };
 
+function using(used: number): ProcessorLoad {
+  return { used, isQueueStanding: false };
+}
+
 test('a router hands connections over only while its VM has little processor time left', () => {
-  assert.equal(handoverScope(0.4, 1, 'none'), 'none');
-  assert.equal(handoverScope(0.98, 1, 'none'), 'allTeams');
+  assert.equal(handoverScope(using(0.4), 1, 'none'), 'none');
+  assert.equal(handoverScope(using(0.98), 1, 'none'), 'allTeams');
   assert.deepEqual(
     [
-      handoverScope(0.7, 1, 'none'),
-      handoverScope(0.7, 1, 'allTeams'),
-      handoverScope(0.7, 0, 'owedTeams'),
-      handoverScope(0.4, 1, 'allTeams'),
+      handoverScope(using(0.7), 1, 'none'),
+      handoverScope(using(0.7), 1, 'allTeams'),
+      handoverScope(using(0.7), 0, 'owedTeams'),
+      handoverScope(using(0.4), 1, 'allTeams'),
     ],
     ['none', 'allTeams', 'owedTeams', 'none'],
   );
 });
 
+// Guards against FAIR of issue 47: a router that refused requests for want of processor time handed none over for 1.5 s, since its VM
+// seemed to have some left.
+test('a router hands connections over while requests wait for processor time, whatever its VM uses', () => {
+  const load = { used: 0.58, isQueueStanding: true };
+  assert.equal(handoverScope(load, 1, 'none'), 'allTeams');
+  assert.equal(handoverScope(load, 0.1, 'allTeams'), 'owedTeams');
+});
+
 // Guards against delaying the requests of all teams by a flood that no server has room for.
 test('a flood stays at the router where it arrives while servers have no room', () => {
-  const scope = handoverScope(0.98, 0.1, 'allTeams');
+  const scope = handoverScope(using(0.98), 0.1, 'allTeams');
   assert.equal(includesTeam(scope, 'best', usage), false);
-  assert.equal(includesTeam(handoverScope(0.98, 0.5, scope), 'best', usage), true);
+  assert.equal(includesTeam(handoverScope(using(0.98), 0.5, scope), 'best', usage), true);
 });
 
 // Guards against FAIR of issue 47: a team that is owed service was kept at a router without processor time while servers were full.
 test('a team that is owed service is handed over while servers have no room, until it has its share', () => {
-  const scope = handoverScope(0.98, 0.1, 'none');
+  const scope = handoverScope(using(0.98), 0.1, 'none');
   assert.equal(includesTeam(scope, 'starved', usage), true);
   assert.equal(includesTeam(scope, 'served', usage), false);
   assert.equal(includesTeam('none', 'starved', usage), false);
--- a/packages/coordination/src/routing/connectionHandover.ts
+++ b/packages/coordination/src/routing/connectionHandover.ts
@@ -39,16 +39,25 @@
 /** Whose connections a router hands over. */
 export type HandoverScope = 'none' | 'owedTeams' | 'allTeams';
 
+/** How much processor time a router has for its callers. */
+export interface ProcessorLoad {
+  /** Fraction of its VM in use. */
+  readonly used: number;
+  /** Whether requests have been waiting for processor time for longer than a burst takes, whatever is in use by the measure. */
+  readonly isQueueStanding: boolean;
+}
+
 /**
- * Whose connections a router hands over. `usedFraction` is that of its VM in use, `freeServerFraction` that of the servers
- * that have room, `current` the scope until now.
+ * Whose connections a router hands over. `freeServerFraction` is that of the servers that have room, `current` the scope until
+ * now.
  */
 export function handoverScope(
-  usedFraction: number,
+  { used, isQueueStanding }: ProcessorLoad,
   freeServerFraction: number,
   current: HandoverScope,
 ): HandoverScope {
-  if (usedFraction < (current === 'none' ? startFraction : stopFraction)) return 'none';
+  const isSaturated = used >= (current === 'none' ? startFraction : stopFraction);
+  if (!isSaturated && !isQueueStanding) return 'none';
   return freeServerFraction >= minFreeServerFraction ? 'allTeams' : 'owedTeams';
 }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -456,13 +456,14 @@
 
   #updateHandover(): void {
     const used = this.#cpuUsage.recentUtilization();
+    const load = { used, isQueueStanding: this.#intake.isStanding };
     const current = this.#handover;
     // The server and member tables are not scanned at each tick while this router has processor time to spare.
-    const lacksCpu = handoverScope(used, 1, current) !== 'none';
+    const lacksCpu = handoverScope(load, 1, current) !== 'none';
     if (!lacksCpu && current === 'none') return;
     const free = this.#dispatcher.freeServerFraction();
     const hasTarget = this.#selectHandoverTarget() !== undefined;
-    const scope = hasTarget ? handoverScope(used, free, current) : 'none';
+    const scope = hasTarget ? handoverScope(load, free, current) : 'none';
     if (scope === current) return;
     this.#handover = scope;
     this.#log.write(scope === 'none' ? 'keeping connections' : 'handing connections on', {
