--- a/packages/coordination/src/routing/dispatcher.test.ts
+++ b/packages/coordination/src/routing/dispatcher.test.ts
@@ -379,15 +379,23 @@
   const servers = ['a', 'bb', 'ccc'].map((id) => server(id));
   const routers = ['r1', 'r2'];
   const first = dispatcher(clock, 'r1', routers);
+  let probes = 0;
   const second = dispatcher(clock, 'r2', routers, {
-    isRefused: (address) => Promise.resolve(address === servers[0]?.address),
+    isRefused: (address) => {
+      probes += 1;
+      return Promise.resolve(address === servers[0]?.address);
+    },
   });
   for (const router of [first, second]) router.applyServers(servers, false);
   const lost = await settled(clock, first.acquire(request(clock), never));
   assert.ok(lost?.kind === 'server' && lost.server.id === 'a');
   lost.finish('unreachable');
-  second.hearCrashEvidence(first.crashEvidence('own'));
+  const evidence = first.crashEvidence('own');
+  const crashes = evidence.crashes.map((report) => ({ ...report, reporter: 'r3' }));
+  second.hearCrashEvidence(evidence);
+  second.hearCrashEvidence({ ...evidence, crashes });
   await clock.advance(0);
+  assert.equal(probes, 1);
   assert.ok(!(await serversOf(clock, second, 6)).has('a'));
   await clock.advance(1_000);
   assert.ok(!(await serversOf(clock, second, 6)).has('a'), 'tried again');
--- a/packages/coordination/src/routing/dispatcher.ts
+++ b/packages/coordination/src/routing/dispatcher.ts
@@ -32,7 +32,7 @@
 import type { RouteTable } from './routeTable.js';
 import { ServerTable, type KnownServer } from './serverTable.js';
 import { ServerHealth, type HealthChange, type ServerOutcome } from './serverHealth.js';
-import { isSameInstance, type ServerInstance } from './serverInstance.js';
+import { instanceKey, isSameInstance, type ServerInstance } from './serverInstance.js';
 import { TeamUsage, type Charge } from './teamUsage.js';
 import { TimeBudgets } from './timeBudgets.js';
 import { UnreportedParts } from './unreportedParts.js';
@@ -129,7 +129,7 @@
   readonly onServer?: (server: string, change: HealthChange, failureRate: number) => void;
   /** Called when a prompt part is blocked, since servers end under it, or released. */
   readonly onPart?: (change: PartChange) => void;
-  /** Called with what is thrown in a pass over the queue outside the placement of a single request. */
+  /** Called with what is thrown outside the placement of a single request. */
   readonly onError?: (error: unknown) => void;
   /** Whether connections to the address are refused; asked of a server that may have ended. */
   readonly isRefused?: (address: string) => Promise<boolean>;
@@ -161,6 +161,8 @@
   readonly #grants = new WeakMap<Job, Grant>();
   /** Parts cached by requests of this router, not yet sent in a report. */
   readonly #unreportedParts = UnreportedParts.create();
+  /** Keys of instances whose end is being verified. */
+  readonly #verifying = new Set<string>();
   /** Recently cached parts reported by routers of this data centre, not yet sent in a summary. */
   #summaryParts: readonly CachedPart[] = [];
   #table: RouteTable | undefined;
@@ -381,7 +383,15 @@
 
   /** Applies what another router has seen of servers that ended. */
   hearCrashEvidence(evidence: CrashEvidence): void {
-    for (const instance of this.#poisonGuard.hear(evidence)) void this.#verifyEnd(instance);
+    for (const instance of this.#poisonGuard.hear(evidence)) {
+      const key = instanceKey(instance);
+      // Several routers report the same end.
+      if (this.#verifying.has(key)) continue;
+      this.#verifying.add(key);
+      this.#verifyEnd(instance)
+        .catch((error: unknown) => this.options.onError?.(error))
+        .finally(() => this.#verifying.delete(key));
+    }
   }
 
   /**
