--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -323,7 +323,6 @@
     path: string | undefined,
     key: string | undefined,
   ): Route | undefined {
-    if (!this.handover.isActive()) return undefined;
     const { table } = this.dependencies.dispatcher;
     const route = table?.route(hostOf(request), path ?? '/');
     if (route === undefined || !isRetriable(route)) return undefined;
@@ -335,6 +334,7 @@
     const { stops } = this.dependencies;
     const via = this.#viaOf(request.socket);
     if (via !== undefined || stops.closesConnections(via)) return true;
+    if (!this.handover.isActive()) return false;
     const key = decodeKey(request.headers.authorization);
     return this.#routeToHandOver(request, request.url, key) !== undefined;
   }
--- a/packages/gateway/src/peerState.ts
+++ b/packages/gateway/src/peerState.ts
@@ -12,7 +12,7 @@
   wholeNumber,
 } from '@catkinwheel/protocol';
 import { Codec, array, boolean, optional, string, tuple, type GetType } from 'purify-ts';
-import type { Dispatcher, Members } from '@catkinwheel/coordination/routing';
+import type { Dispatcher, Members, Revision } from '@catkinwheel/coordination/routing';
 import { Agent } from 'undici';
 import {
   tableNames,
@@ -96,14 +96,14 @@
   addRoutes(app: Hono): void {
     const { dispatcher, storeReplica, members, router, ip, capacity } = this.options;
     app.get(path, (context) => {
-      const changes = (table: TableName): GetType<typeof changesCodec> => {
+      const changes = (table: TableName): Revision & Pick<Changes, 'rows'> => {
         const { era } = storeReplica.revision(table);
         const since = {
           era: Number(context.req.query(eraField(table)) ?? era),
           version: Number(context.req.query(table) ?? 0),
         };
         const { revision, rows } = storeReplica.changesSince(table, since);
-        return { ...revision, rows: rows.map((row) => ({ ...row })) };
+        return { ...revision, rows };
       };
       return context.json({
         operators: changes('operators'),
